--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+PACKAGES = -e packages/core -e packages/daemon -e packages/client
+
+.PHONY: setup test lint format demo clean
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: constraints.txt requirements-dev.txt packages/*/pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --constraint constraints.txt \
+		$(PACKAGES) --requirement requirements-dev.txt
+	touch $@
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: setup
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+test: lint
+	$(BIN)/python -m pytest
+
+demo: setup
+	$(BIN)/python -m benchmarks.demo
+
+clean:
+	rm -rf $(VENV) build
