--- /dev/null
+++ b/packages/core/banyanwheel_core/charts.py
@@ -0,0 +1,100 @@
+"""State charts read from the files in ``charts/``.
+
+A chart file names its ``initial`` and ``final`` states and its ``[[transitions]]``,
+each with ``event``, ``from`` (a list of states) and ``to``.
+"""
+
+import tomllib
+from functools import cache
+from importlib import resources
+
+from transitions import Machine
+
+from .errors import ChartError
+
+__all__ = ["CHART_NAMES", "Chart"]
+
+CHART_NAMES = ("job", "task", "grant", "backend_server", "process", "connection")
+
+
+class Chart:
+    """A lifecycle, interpreted from a table that its file fills.
+
+    ``transitions`` checks the file; the table serves each step, since the library's
+    own step costs tens of microseconds for each task.
+    """
+
+    def __init__(self, name, initial, final, table):
+        self._name = name
+        self._initial = initial
+        self._final = final
+        self._table = table
+
+    @property
+    def initial(self):
+        """The state in which a lifecycle begins."""
+        return self._initial
+
+    @property
+    def final(self):
+        """The states that count as ended."""
+        return self._final
+
+    @property
+    def steps(self):
+        """All steps as a mapping of (state, event) to the next state."""
+        return dict(self._table)
+
+    @classmethod
+    @cache
+    def load(cls, name):
+        """Reads the chart of this name; raises ChartError where it is malformed."""
+        source = resources.files(__package__) / "charts" / f"{name}.toml"
+        return cls.from_text(name, source.read_text(encoding="utf-8"))
+
+    @classmethod
+    def from_text(cls, name, text):
+        """Reads a chart from TOML text."""
+        try:
+            content = tomllib.loads(text)
+            rows = [
+                (row["event"], row["from"], row["to"]) for row in content["transitions"]
+            ]
+            initial = content["initial"]
+            final = frozenset(content["final"])
+            table = _flatten(rows, initial, final)
+        except (KeyError, TypeError, ValueError) as error:
+            raise ChartError(f"chart {name}: {error}") from error
+        return cls(name, initial, final, table)
+
+    def next(self, state, event):
+        """Returns the state after ``event``; raises ChartError if forbidden."""
+        try:
+            return self._table[state, event]
+        except KeyError:
+            raise ChartError(
+                f"chart {self._name}: no {event!r} in state {state!r}"
+            ) from None
+
+    def allows(self, state, event):
+        """Tells whether the chart has a step for ``event`` in ``state``."""
+        return (state, event) in self._table
+
+
+def _flatten(rows, initial, final):
+    states = {initial, *final}
+    for _, sources, target in rows:
+        states.update(sources)
+        states.add(target)
+    machine = Machine(
+        states=sorted(states), initial=initial, auto_transitions=False, model=None
+    )
+    for event, sources, target in rows:
+        machine.add_transition(event, sources, target)
+    table = {}
+    for event in machine.events:
+        for step in machine.get_transitions(event):
+            if (step.source, event) in table:
+                raise ValueError(f"two steps for {event!r} in {step.source!r}")
+            table[step.source, event] = step.dest
+    return table
--- a/packages/core/banyanwheel_core/effects.py
+++ b/packages/core/banyanwheel_core/effects.py
@@ -53,9 +53,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Answered:
-    """Gives a caller's waiting request its answer."""
+    """Gives the caller's request ``token`` its answer."""
 
-    job_id: str
+    token: int
     answer: Answer
 
 
--- /dev/null
+++ b/packages/core/banyanwheel_core/entry.py
@@ -0,0 +1,407 @@
+"""Decisions of an entry: ids in advance, the coordinator of a job, and its answer.
+
+An entry keeps nothing that matters: a caller that repeats an id through another entry
+gets the same answer. Times are seconds of a monotonic clock.
+"""
+
+from collections import defaultdict, deque
+from dataclasses import dataclass, field
+
+from .effects import Answered, Count, Peer, Send
+from .errors import InvalidIdError
+from .ids import JobId
+from .jobs import failed, refused
+from .messages import (
+    BlockRequest,
+    CancelJob,
+    IdBlock,
+    JobAccepted,
+    JobAnswer,
+    QueryJob,
+    SubmitJob,
+)
+from .models import Answer, JobSpec, Reason
+from .timers import Timers
+
+__all__ = ["Entry", "EntryLimits", "NoIdsError"]
+
+MOVABLE = {Reason.STOPPING, Reason.TABLE_FULL, Reason.UNKNOWN_ID, Reason.NO_WORKER}
+
+
+class NoIdsError(Exception):
+    """No coordinator has issued ids to this entry."""
+
+
+@dataclass(frozen=True, slots=True)
+class EntryLimits:
+    """Bounds of an entry; times in seconds."""
+
+    block_size: int = 200
+    low_water: int = 100
+    coordinators: int = 8
+    deadline_margin: float = 1.0
+    max_pending: int = 20_000
+    max_tries: int = 4
+
+
+@dataclass(slots=True)
+class _Stock:
+    """Ids of one coordinator that are not used yet."""
+
+    ids: deque = field(default_factory=deque)
+    expires_at: float = 0.0
+    requested_at: float | None = None
+
+
+@dataclass(slots=True)
+class _Pending:
+    """A caller's request that waits for an answer."""
+
+    token: int
+    job_id: str
+    message: object
+    deadline_at: float
+    short_form: bool = False
+    fingerprint: str = ""
+    spec: JobSpec | None = None
+    tries: int = 1
+    query: bool = False
+
+
+class Entry:
+    """Forwards each job to the one coordinator that decides on it."""
+
+    def __init__(self, identity, members, random, limits=None, data_centre=""):
+        self._identity = identity
+        self._members = members
+        self._random = random
+        self._limits = limits or EntryLimits()
+        self._data_centre = data_centre
+        self._stocks = {}
+        self._loads = {}
+        self._pending = {}
+        self._by_job = defaultdict(dict)
+        self._timers = Timers()
+
+    @property
+    def pending(self):
+        """Requests that wait for an answer."""
+        return len(self._pending)
+
+    @property
+    def ready(self):
+        """Whether ids are at hand."""
+        return any(stock.ids for stock in self._stocks.values())
+
+    @property
+    def next_tick(self):
+        """When :meth:`tick` is wanted next, or None."""
+        return self._timers.next_due
+
+    @property
+    def awaited(self):
+        """Names of coordinators from which something is awaited."""
+        names = {self._owner(p.job_id).name for p in self._pending.values()}
+        requested = {
+            peer.name for peer, stock in self._stocks.items() if stock.requested_at
+        }
+        return names | requested
+
+    def loaded(self, name, load):
+        """Takes in a load that an agent reported."""
+        self._loads[name] = load
+
+    def take_ids(self, count, now):
+        """Returns ids for a caller that submits later; raises NoIdsError."""
+        ids = []
+        while len(ids) < count:
+            ids.append(self._take_id(now))
+        return ids
+
+    def submit(self, token, job_id, spec, fingerprint, now):
+        """Forwards a submission; without an id, one is taken here."""
+        if len(self._pending) >= self._limits.max_pending:
+            return self._refuse_unsent(token, job_id, Reason.QUEUE_FULL)
+        short_form = job_id is None
+        if short_form:
+            try:
+                job_id = self._take_id(now)
+            except NoIdsError:
+                return self._refuse_unsent(token, "", Reason.NO_COORDINATOR)
+        deadline_at = now + spec.deadline_ms / 1_000
+        message = SubmitJob(job_id, spec, fingerprint, spec.deadline_ms)
+        pending = _Pending(
+            token, job_id, message, deadline_at, short_form, fingerprint, spec
+        )
+        return self._open(pending, now)
+
+    def query(self, token, job_id, now):
+        """Asks for the state of a job; JobAccepted answers it as running."""
+        pending = _Pending(token, job_id, QueryJob(job_id), now + 5.0, query=True)
+        return self._open(pending, now)
+
+    def cancel(self, token, job_id, now):
+        """Asks to cancel a job; its answer tells what came of it."""
+        return self._open(_Pending(token, job_id, CancelJob(job_id), now + 30.0), now)
+
+    def handle(self, sender, message, now):
+        """Takes a coordinator's message and returns the effects."""
+        match message:
+            case IdBlock():
+                return self._stock_up(sender, message, now)
+            case JobAnswer(answer=answer):
+                return self._answered(answer, now)
+            case JobAccepted(job_id=job_id):
+                return self._accepted(job_id)
+        return []
+
+    def tick(self, now):
+        """Acts on deadlines, and fetches ids before they run out."""
+        effects = []
+        for token in self._timers.due(now):
+            effects += self._timed_out(self._pending[token])
+        return effects + self._fetch_ids(now)
+
+    # Ids.
+
+    def _fetch_ids(self, now):
+        self._drop_stale(now)
+        at_hand = sum(len(stock.ids) for stock in self._stocks.values())
+        effects = []
+        for member in self._choose_coordinators():
+            peer = Peer(member.name, member.incarnation)
+            stock = self._stocks.setdefault(peer, _Stock())
+            enough = len(stock.ids) >= self._limits.low_water
+            asked = stock.requested_at is not None and now - stock.requested_at < 1.0
+            if not enough and not asked and at_hand < self._cap:
+                stock.requested_at = now
+                effects.append(Send(peer, BlockRequest(self._limits.block_size)))
+        return effects
+
+    @property
+    def _cap(self):
+        return self._limits.coordinators * self._limits.block_size * 2
+
+    def _choose_coordinators(self):
+        """Members that may coordinate, those of the own data centre first."""
+        members = [m for m in self._members.members if not m.leaving]
+        near = [m for m in members if m.data_centre == self._data_centre]
+        far = [m for m in members if m.data_centre != self._data_centre]
+        wanted = self._limits.coordinators
+        return near[:wanted] + far[: max(wanted // 4, wanted - len(near))]
+
+    def _drop_stale(self, now):
+        for peer, stock in list(self._stocks.items()):
+            member = self._members.find(peer.name)
+            gone = (
+                member is None
+                or member.leaving
+                or member.incarnation != peer.incarnation
+            )
+            if gone or (stock.ids and stock.expires_at <= now):
+                del self._stocks[peer]
+
+    def _stock_up(self, sender, block, now):
+        stock = self._stocks.setdefault(sender, _Stock())
+        stock.requested_at = None
+        if not block.size:
+            return []
+        # Half of the lifetime is left to the caller that uses the id.
+        stock.expires_at = now + block.lifetime_ms / 2_000
+        stock.ids.extend(
+            str(JobId(sender, block.block, number)) for number in range(block.size)
+        )
+        return []
+
+    def _take_id(self, now):
+        """Takes an id of the less loaded of two coordinators with ids."""
+        self._drop_stale(now)
+        usable = [
+            peer
+            for peer, stock in self._stocks.items()
+            if stock.ids and self._members.usable(peer.name, now)
+        ]
+        if not usable:
+            raise NoIdsError("no coordinator has issued ids to this entry")
+        sample = self._random.sample(usable, min(2, len(usable)))
+        chosen = min(sample, key=self._cost)
+        self._taken(chosen)
+        return self._stocks[chosen].ids.popleft()
+
+    def _cost(self, peer):
+        load = self._loads.get(peer.name)
+        if load is None:
+            return (0, 0)
+        return (load.queued_ms, -load.free_slots)
+
+    def _taken(self, peer):
+        load = self._loads.get(peer.name)
+        if load is not None and load.free_slots:
+            self._loads[peer.name] = type(load)(load.free_slots - 1, load.queued_ms)
+
+    # Requests.
+
+    def _owner(self, job_id):
+        """The process to ask: the coordinator, or the successor it named."""
+        owner = JobId.parse(job_id).coordinator
+        member = self._members.find(owner.name)
+        same = member is not None and member.incarnation == owner.incarnation
+        if same and member.successor:
+            successor = self._members.find(member.successor)
+            if successor is not None:
+                return Peer(successor.name, successor.incarnation)
+        return owner
+
+    def _open(self, pending, now):
+        try:
+            owner = self._owner(pending.job_id)
+        except InvalidIdError as error:
+            answer = refused(pending.job_id, Reason.UNKNOWN_ID, str(error))
+            return [Answered(pending.token, answer), _refusal(Reason.UNKNOWN_ID)]
+        if not self._reachable(owner):
+            return self._unreachable(pending)
+        self._pending[pending.token] = pending
+        self._by_job[pending.job_id][pending.token] = pending
+        margin = self._limits.deadline_margin
+        self._timers.set(pending.token, pending.deadline_at + margin)
+        return [Send(owner, pending.message)]
+
+    def _reachable(self, owner):
+        member = self._members.find(owner.name)
+        return member is not None and member.incarnation == owner.incarnation
+
+    def _unreachable(self, pending):
+        detail = "the job's coordinator is gone"
+        answer = failed(pending.job_id, Reason.COORDINATOR_GONE, detail)
+        return [Answered(pending.token, answer), _failure(Reason.COORDINATOR_GONE)]
+
+    def _refuse_unsent(self, token, job_id, reason):
+        """Refuses what this entry has not sent; with a caller's id, it can't know."""
+        if job_id:
+            detail = "this entry can take no more requests"
+            answer = failed(job_id, reason, detail)
+        else:
+            detail = "no coordinator can be asked now"
+            answer = refused(job_id or "", reason, detail, 1_000)
+        return [Answered(token, answer), _refusal(reason)]
+
+    def _answered(self, answer, now):
+        effects = []
+        for pending in list(self._by_job.get(answer.id, {}).values()):
+            if self._may_move(pending, answer):
+                effects += self._move(pending, answer, now)
+            else:
+                self._close(pending)
+                effects.append(Answered(pending.token, answer))
+        return effects
+
+    def _may_move(self, pending, answer):
+        """Only a short form that was certainly not accepted goes elsewhere."""
+        return (
+            pending.short_form
+            and answer.reason in MOVABLE
+            and answer.outcome == "not-run"
+            and pending.tries < self._limits.max_tries
+        )
+
+    def _move(self, pending, answer, now):
+        self._close(pending)
+        left_ms = int((pending.deadline_at - now) * 1_000)
+        try:
+            job_id = self._take_id(now)
+        except NoIdsError:
+            return [Answered(pending.token, answer)]
+        if left_ms <= 0:
+            return [Answered(pending.token, answer)]
+        message = SubmitJob(job_id, pending.spec, pending.fingerprint, left_ms)
+        moved = _Pending(
+            pending.token,
+            job_id,
+            message,
+            pending.deadline_at,
+            True,
+            pending.fingerprint,
+            pending.spec,
+            pending.tries + 1,
+        )
+        return [Count("retries", answer.reason), *self._open(moved, now)]
+
+    def _accepted(self, job_id):
+        effects = []
+        for pending in list(self._by_job.get(job_id, {}).values()):
+            if pending.query:
+                self._close(pending)
+                effects.append(Answered(pending.token, _running(job_id)))
+        return effects
+
+    def _close(self, pending):
+        self._timers.cancel(pending.token)
+        del self._pending[pending.token]
+        waiting = self._by_job[pending.job_id]
+        del waiting[pending.token]
+        if not waiting:
+            del self._by_job[pending.job_id]
+
+    def _timed_out(self, pending):
+        self._close(pending)
+        detail = "the coordinator did not answer in time"
+        answer = failed(pending.job_id, Reason.OUTCOME_UNKNOWN, detail)
+        return [Answered(pending.token, answer), _failure(Reason.OUTCOME_UNKNOWN)]
+
+    # Peers.
+
+    def peer_silent(self, name, now):
+        """A new connection has replaced a silent one: repeat what is unanswered."""
+        effects = [Count("retries", Reason.PEER_SILENT)]
+        for pending in self._pending.values():
+            owner = self._owner(pending.job_id)
+            if owner.name == name:
+                effects.append(Send(owner, self._repeat(pending, now)))
+        for peer, stock in self._stocks.items():
+            if peer.name == name:
+                stock.requested_at = None
+        return effects
+
+    def _repeat(self, pending, now):
+        match pending.message:
+            case SubmitJob(job_id=job_id, spec=spec, fingerprint=fingerprint):
+                left_ms = max(1, int((pending.deadline_at - now) * 1_000))
+                return SubmitJob(job_id, spec, fingerprint, left_ms)
+        return pending.message
+
+    def peer_replaced(self, name, incarnation, now):
+        """Another incarnation runs under this name: the earlier one is gone."""
+        effects = []
+        for pending in list(self._pending.values()):
+            owner = JobId.parse(pending.job_id).coordinator
+            if owner.name == name and owner.incarnation != incarnation:
+                effects += self._redirect(pending, owner)
+        return effects
+
+    def members_changed(self, now):
+        """Sends what waits for a coordinator that has left to its successor."""
+        effects = []
+        for pending in list(self._pending.values()):
+            owner = JobId.parse(pending.job_id).coordinator
+            if self._owner(pending.job_id) != owner:
+                effects += self._redirect(pending, owner)
+        return effects
+
+    def _redirect(self, pending, owner):
+        successor = self._owner(pending.job_id)
+        if successor != owner:
+            return [Send(successor, pending.message)]
+        self._close(pending)
+        return self._unreachable(pending)
+
+
+def _running(job_id):
+    return Answer(job_id, state="running")
+
+
+def _refusal(reason):
+    return Count("refusals", reason)
+
+
+def _failure(reason):
+    return Count("failures", reason)
--- a/packages/core/banyanwheel_core/messages.py
+++ b/packages/core/banyanwheel_core/messages.py
@@ -18,6 +18,7 @@
     "Envelope",
     "Grant",
     "Handover",
+    "HandoverTaken",
     "IdBlock",
     "InspectReply",
     "InspectRequest",
@@ -125,19 +126,26 @@
 
     ``upto`` counts all grants ever wanted from this executor for the flow, so a
     repeat or a late copy changes nothing; ``sequence`` orders two requests.
+    ``granted`` counts those that the coordinator has seen.
     """
 
     flow: FlowKey
     sequence: int
+    granted: int
     upto: int
     declared_ms: int
 
 
 class ReservationQueued(_Message):
-    """No slot is free now; ``wait_ms`` is the executor's estimate."""
+    """No slot is free now; ``wait_ms`` is the executor's estimate.
+
+    ``granted`` counts as in :class:`Grant`, here and in a refusal, so that a
+    coordinator that missed a grant can catch up.
+    """
 
     flow: FlowKey
     wait_ms: int
+    granted: int
 
 
 class ReservationRefused(_Message):
@@ -146,6 +154,7 @@
     flow: FlowKey
     reason: Reason
     retry_after_ms: int
+    granted: int
 
 
 class Grant(_Message):
@@ -268,10 +277,24 @@
 
 
 class Handover(_Message):
-    """Answers that a leaving coordinator hands to its successor."""
+    """Answers that a leaving coordinator hands to its successor.
+
+    ``part`` of ``parts`` counts from 0; ``blocks`` are those that have not expired;
+    each answer stands beside its fingerprint.
+    """
+
+    name: str
+    incarnation: str
+    part: int
+    parts: int
+    blocks: tuple[int, ...]
+    answers: tuple[tuple[str, Answer], ...]
+
+
+class HandoverTaken(_Message):
+    """The successor holds the answers of this incarnation."""
 
     incarnation: str
-    answers: tuple[tuple[str, str, Answer], ...]
 
 
 class InspectRequest(_Message):
@@ -313,6 +336,7 @@
     | ConfigurationRequest
     | ConfigurationReply
     | Handover
+    | HandoverTaken
     | InspectRequest
     | InspectReply
 )
--- /dev/null
+++ b/packages/core/banyanwheel_core/placement.py
@@ -0,0 +1,191 @@
+"""Choice of executors for waiting tasks.
+
+A sender knows of each executor what it last reported of its load, less the slots that
+the sender itself has asked for since, and the run times and failures seen there.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+__all__ = ["Candidate", "Placement"]
+
+SAMPLES = 4  # executors compared for one choice
+UNKNOWN_LOAD_MS = 20.0  # assumed wait at an executor that has reported nothing yet
+FAR_MS = 3.0  # added for another data centre
+LEARNING_RATE = 0.2  # weight of the newest value in the moving averages
+FAILURE_MARGIN = 0.5  # failure rate above the fleet's that ejects an executor
+MIN_OUTCOMES = 5  # outcomes seen before an executor can be ejected
+MAX_EJECTED_SHARE = 0.3  # of the executors known
+EJECTION_SECONDS = 10.0  # until the first trial; doubles with each ejection
+MAX_EJECTION_SECONDS = 120.0
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """An executor that offers the service."""
+
+    name: str
+    data_centre: str
+    slots: int
+
+
+@dataclass(slots=True)
+class _Seen:
+    """What this sender has seen of one executor."""
+
+    free_slots: float | None = None
+    queued_ms: float = 0.0
+    run_ms: dict = field(default_factory=dict)
+    failure_rate: float = 0.0
+    outcomes: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+    on_trial: bool = False
+
+
+def _least_expected(placement, flow, sample):
+    return min(sample, key=lambda candidate: placement.expected_ms(flow, candidate))
+
+
+def _least_reserved(placement, flow, sample):
+    return min(sample, key=lambda candidate: placement.reserved(candidate.name))
+
+
+def _first(placement, flow, sample):
+    return sample[0]
+
+
+_CHOICES: dict[str, Callable] = {
+    "expected": _least_expected,
+    "outstanding": _least_reserved,
+    "random": _first,
+}
+
+
+class Placement:
+    """Picks the executor with the earliest expected completion in a sample."""
+
+    def __init__(self, data_centre, random, choice="expected", samples=SAMPLES):
+        self._data_centre = data_centre
+        self._random = random
+        self._choose = _CHOICES[choice]
+        self._samples = samples
+        self._seen = {}
+        self._reserved = {}
+
+    def reserved(self, name):
+        """Slots that this sender has asked for at an executor and not seen freed."""
+        return self._reserved.get(name, 0)
+
+    def loaded(self, name, load):
+        """Takes in a load that an executor reported."""
+        seen = self._seen.setdefault(name, _Seen())
+        seen.free_slots = float(load.free_slots)
+        seen.queued_ms = float(load.queued_ms)
+
+    def asked(self, name, slots):
+        """Notes slots asked for, or with a negative number given up or granted."""
+        self._reserved[name] = max(0, self._reserved.get(name, 0) + slots)
+
+    def started(self, name, slots):
+        """Notes slots put to use, so that the next choice counts them as taken."""
+        seen = self._seen.setdefault(name, _Seen())
+        if seen.free_slots is not None:
+            seen.free_slots = max(0.0, seen.free_slots - slots)
+
+    def succeeded(self, name, flow, run_ms):
+        """Notes a task that an executor finished."""
+        seen = self._seen.setdefault(name, _Seen())
+        key = (flow.service, flow.kind)
+        old = seen.run_ms.get(key, float(run_ms))
+        seen.run_ms[key] = old + LEARNING_RATE * (run_ms - old)
+        self._outcome(seen, 0.0)
+        if seen.on_trial:
+            seen.on_trial = False
+            seen.ejections = 0
+            seen.failure_rate = 0.0
+
+    def failed(self, name, now):
+        """Notes a task that an executor failed; may eject the executor."""
+        seen = self._seen.setdefault(name, _Seen())
+        self._outcome(seen, 1.0)
+        if seen.on_trial or self._is_outlier(seen):
+            self._eject(seen, now)
+
+    def free(self, name):
+        """Slots that an executor reported free and this sender has not asked for."""
+        seen = self._seen.get(name)
+        if seen is None or seen.free_slots is None:
+            return 0
+        return max(0, int(seen.free_slots) - self.reserved(name))
+
+    def has_free(self, name):
+        """Tells whether an executor is known to have a free slot."""
+        return self.free(name) > 0
+
+    def share(self, name, want, candidates):
+        """Slots to ask of an executor at once, when ``want`` are wanted in all."""
+        even = -(-want // max(1, 2 * candidates))
+        return min(want, max(even, self.free(name), 1))
+
+    def ejected(self, name, now):
+        """Tells whether an executor is left out for failing more than its peers."""
+        seen = self._seen.get(name)
+        return seen is not None and seen.ejected_until > now
+
+    def choose(self, flow, candidates, now):
+        """Returns one of ``candidates``, or None where there is none to use."""
+        usable = [c for c in candidates if not self.ejected(c.name, now)]
+        usable = [c for c in usable if not self._trial_taken(c.name)]
+        if not usable:
+            return None
+        if len(usable) <= self._samples:
+            sample = self._random.sample(usable, len(usable))
+        else:
+            sample = self._random.sample(usable, self._samples)
+        return self._choose(self, flow, sample)
+
+    def expected_ms(self, flow, candidate):
+        """Milliseconds until a task would be done at a candidate."""
+        seen = self._seen.get(candidate.name)
+        far = FAR_MS if candidate.data_centre != self._data_centre else 0.0
+        if seen is None or seen.free_slots is None:
+            return far + UNKNOWN_LOAD_MS + self.fleet_run_ms(flow)
+        run_ms = seen.run_ms.get((flow.service, flow.kind), self.fleet_run_ms(flow))
+        return far + run_ms + self._wait_ms(seen, candidate, run_ms)
+
+    def _wait_ms(self, seen, candidate, run_ms):
+        ahead = self.reserved(candidate.name) + 1 - seen.free_slots
+        if ahead <= 0:
+            return 0.0
+        return seen.queued_ms + ahead * run_ms / max(1, candidate.slots)
+
+    def fleet_run_ms(self, flow):
+        """Mean run time seen for this kind of work at all executors."""
+        key = (flow.service, flow.kind)
+        known = [seen.run_ms[key] for seen in self._seen.values() if key in seen.run_ms]
+        return sum(known) / len(known) if known else 100.0
+
+    def _outcome(self, seen, failure):
+        seen.outcomes += 1
+        seen.failure_rate += LEARNING_RATE * (failure - seen.failure_rate)
+
+    def _is_outlier(self, seen):
+        if seen.outcomes < MIN_OUTCOMES:
+            return False
+        others = [s.failure_rate for s in self._seen.values() if s is not seen]
+        fleet = sum(others) / len(others) if others else seen.failure_rate
+        return seen.failure_rate > fleet + FAILURE_MARGIN
+
+    def _eject(self, seen, now):
+        ejected = sum(s.ejected_until > now for s in self._seen.values())
+        if ejected >= max(1, int(MAX_EJECTED_SHARE * len(self._seen))):
+            return
+        pause = min(MAX_EJECTION_SECONDS, EJECTION_SECONDS * 2**seen.ejections)
+        seen.ejected_until = now + pause
+        seen.ejections += 1
+        seen.on_trial = True
+
+    def _trial_taken(self, name):
+        seen = self._seen.get(name)
+        return seen is not None and seen.on_trial and self.reserved(name) > 0
