--- /dev/null
+++ b/packages/daemon/banyanwheel_daemon/metrics.py
@@ -0,0 +1,62 @@
+"""Counters and gauges by OpenTelemetry, rendered as Prometheus text."""
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import (
+    CollectorRegistry,
+    GCCollector,
+    ProcessCollector,
+    generate_latest,
+)
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
+
+__all__ = ["MESSAGES", "REFUSALS", "RETRIES", "Metrics"]
+
+MESSAGES = "banyanwheel.messages"
+REFUSALS = "banyanwheel.refusals"
+RETRIES = "banyanwheel.retries"
+
+
+class Metrics:
+    """The metrics of one process."""
+
+    content_type = CONTENT_TYPE_LATEST
+
+    def __init__(self, process, role):
+        self._counters = {}
+        self._registry = CollectorRegistry()
+        ProcessCollector(registry=self._registry)
+        GCCollector(registry=self._registry)
+        resource = Resource(
+            {"service.name": f"banyanwheel-{role}", "service.instance.id": process}
+        )
+        self._provider = MeterProvider(
+            metric_readers=[PrometheusMetricReader(registry=self._registry)],
+            resource=resource,
+            shutdown_on_exit=False,
+        )
+        self._meter = self._provider.get_meter("banyanwheel")
+
+    def count(self, name, reason, amount=1):
+        """Adds to the counter ``name`` under the attribute ``reason``."""
+        counter = self._counters.get(name)
+        if counter is None:
+            counter = self._meter.create_counter(name)
+            self._counters[name] = counter
+        counter.add(amount, {"reason": str(reason)})
+
+    def gauge(self, name, read, unit=""):
+        """Registers a gauge whose value is ``read()`` at each rendering."""
+        self._meter.create_observable_gauge(
+            name, callbacks=[lambda options: [Observation(read())]], unit=unit
+        )
+
+    def render(self):
+        """Returns all metrics as bytes in the Prometheus text format."""
+        return generate_latest(self._registry)
+
+    def close(self):
+        """Frees what the metrics hold."""
+        self._provider.shutdown()
--- /dev/null
+++ b/tests/daemon/test_log_service.py
@@ -0,0 +1,135 @@
+import asyncio
+import random
+
+import pytest
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+from tornado.web import Application, RequestHandler
+
+from banyanwheel_daemon.log_service import (
+    AppendUncertain,
+    Follower,
+    LogRefused,
+    LogService,
+    LogUnavailable,
+)
+
+HANG_S = 30
+
+
+class Records(RequestHandler):
+    """A stream in memory; ``faults`` holds one status or "drop" per request."""
+
+    def initialize(self, records, faults):
+        self._records = records
+        self._faults = faults
+
+    def post(self, stream):
+        fault = self._faults.pop(0) if self._faults else None
+        if fault == "drop":
+            self._records.append(self.request.body)
+            self.request.connection.stream.close()
+            return
+        if fault:
+            self.send_error(fault)
+            return
+        self._records.append(self.request.body)
+        self.set_status(201)
+        self.write({"offset": len(self._records) - 1})
+
+    def get(self, stream):
+        if self._faults:
+            self.send_error(self._faults.pop(0))
+            return
+        start = int(self.get_query_argument("from"))
+        stop = start + int(self.get_query_argument("limit"))
+        rows = ",".join(
+            f'{{"offset": {start + i}, "age_ms": 5, "data": {data.decode()}}}'
+            for i, data in enumerate(self._records[start:stop])
+        )
+        end = min(stop, len(self._records))
+        self.write(f'{{"first": 0, "next": {end}, "records": [{rows}]}}')
+
+
+@pytest.fixture
+def run():
+    """Runs a coroutine function with a log service, its records and its faults."""
+
+    def run(body):
+        async def main():
+            records, faults = [], []
+            listener, port = bind_unused_port()
+            options = {"records": records, "faults": faults}
+            server = HTTPServer(
+                Application([("/streams/(.*)/records", Records, options)])
+            )
+            server.add_sockets([listener])
+            try:
+                log = LogService(f"http://127.0.0.1:{port}/")
+                await asyncio.wait_for(body(log, records, faults), HANG_S)
+            finally:
+                server.stop()
+
+        asyncio.run(main())
+
+    return run
+
+
+def test_records_are_read_back_in_order(run):
+    async def body(log, records, faults):
+        assert [await log.append("s", b"%d" % n) for n in range(3)] == [0, 1, 2]
+        page = await log.read("s", 1, limit=1)
+        assert (page.first, page.next) == (0, 2)
+        assert [(record.offset, bytes(record.data)) for record in page.records] == [
+            (1, b"1")
+        ]
+
+    run(body)
+
+
+@pytest.mark.parametrize(
+    ("fault", "error"),
+    [("drop", AppendUncertain), (503, AppendUncertain), (400, LogRefused)],
+)
+def test_a_failed_append_tells_whether_it_may_have_taken_effect(run, fault, error):
+    async def body(log, records, faults):
+        faults.append(fault)
+        with pytest.raises(error):
+            await log.append("s", b"1")
+
+    run(body)
+
+
+def test_an_append_that_was_never_sent_is_certain():
+    async def body():
+        listener, port = bind_unused_port()
+        listener.close()
+        log = LogService(f"http://127.0.0.1:{port}")
+        with pytest.raises(LogUnavailable):
+            await log.append("s", b"1")
+        with pytest.raises(LogUnavailable):
+            await log.read("s", 0)
+
+    asyncio.run(asyncio.wait_for(body(), HANG_S))
+
+
+def test_a_follower_goes_on_where_an_outage_stopped_it(run):
+    async def body(log, records, faults):
+        records.extend([b"1", b"2"])
+        faults.extend([503, 503])
+        seen, errors, done = [], [], asyncio.Event()
+
+        def on_page(page):
+            seen.extend(record.offset for record in page.records)
+            if len(seen) == 2:
+                done.set()
+
+        follower = Follower(log, "s", random=random.Random(1))
+        task = asyncio.create_task(follower.follow(on_page, errors.append))
+        await done.wait()
+        task.cancel()
+        assert seen == [0, 1]
+        assert len(errors) == 2
+        assert follower.next == 2
+
+    run(body)
