Carry the log offset of each member in MembersReply

A view that learns a member from a peer could order two records under one name only by age, which the way through the network distorts. The offset orders them exactly. KnownMember is an array with a default offset, so a pair of record and age still decodes.

--- a/packages/core/banyanwheel_core/messages.py
+++ b/packages/core/banyanwheel_core/messages.py
@@ -23,6 +23,7 @@
     "InspectRequest",
     "JobAccepted",
     "JobAnswer",
+    "KnownMember",
     "Load",
     "MemberRecord",
     "MembersReply",
@@ -250,10 +251,18 @@
     """Asks a peer for its view of the membership."""
 
 
+class KnownMember(msgspec.Struct, frozen=True, array_like=True):
+    """A member as a peer knows it; ``offset`` is -1 for a record not on the log."""
+
+    record: MemberRecord
+    age_ms: int
+    offset: int = -1
+
+
 class MembersReply(_Message):
-    """Members with the age of each announcement in milliseconds."""
+    """Members with the age and offset of each announcement."""
 
-    members: tuple[tuple[MemberRecord, int], ...]
+    members: tuple[KnownMember, ...]
 
 
 class ConfigurationRequest(_Message):
