Carry batched messages between processes over ZeroMQ

One ROUTER and a DEALER per peer, drained per wake-up and after each send; messages of one turn of the loop leave as one envelope.

--- /dev/null
+++ b/tests/daemon/test_transport.py
@@ -0,0 +1,197 @@
+import asyncio
+
+import msgspec
+import pytest
+import zmq
+
+from banyanwheel_core.effects import Peer
+from banyanwheel_core.messages import (
+    Load,
+    Misaddressed,
+    Ping,
+    Pong,
+    StartTasks,
+    TaskStart,
+)
+from banyanwheel_daemon import transport as transport_module
+from banyanwheel_daemon.transport import Transport
+
+HANG_SECONDS = 20
+GULF = Peer("gulf-1", "0000000000000001")
+REEF = Peer("reef-1", "0000000000000002")
+
+
+class Endpoint:
+    """A transport that keeps what it receives."""
+
+    def __init__(self, peer):
+        self.peer = peer
+        self.envelopes = []
+        self.transport = Transport(
+            peer.name, peer.incarnation, "127.0.0.1:0", self.receive
+        )
+
+    @property
+    def messages(self):
+        return [m for envelope in self.envelopes for m in envelope.messages]
+
+    def receive(self, envelope):
+        self.envelopes.append(envelope)
+
+    def send(self, other, message, **options):
+        options = {"configuration": 0} | options
+        self.transport.send(other.peer, other.transport.address, message, **options)
+
+    async def wait(self, holds):
+        async with asyncio.timeout(HANG_SECONDS):
+            while not holds(self):
+                await asyncio.sleep(0.001)
+
+
+def run(scenario, *peers):
+    """Runs a scenario with one endpoint for each peer."""
+
+    async def main():
+        endpoints = [Endpoint(peer) for peer in peers]
+        try:
+            await scenario(*endpoints)
+        finally:
+            for endpoint in endpoints:
+                endpoint.transport.close()
+
+    asyncio.run(main())
+
+
+def test_messages_of_one_turn_arrive_as_one_envelope():
+    async def scenario(gulf, reef):
+        for number in range(5):
+            gulf.send(reef, Ping(number), configuration=7, load=Load(3, 40))
+        await reef.wait(lambda end: end.envelopes)
+        (envelope,) = reef.envelopes
+        assert envelope.messages == tuple(Ping(number) for number in range(5))
+        assert (envelope.sender, envelope.incarnation) == (GULF.name, GULF.incarnation)
+        assert envelope.recipient == REEF.incarnation
+        assert envelope.configuration == 7
+        assert envelope.load == Load(3, 40)
+
+    run(scenario, GULF, REEF)
+
+
+def test_a_task_payload_arrives_byte_for_byte():
+    payload = msgspec.Raw(b'{"weight": 12345678901234567890.10, "\\u00e9": []}')
+    task = TaskStart("id", 0, payload, 100, 900)
+
+    async def scenario(gulf, reef):
+        gulf.send(reef, StartTasks(1, (task,)))
+        await reef.wait(lambda end: end.messages)
+        assert bytes(reef.messages[0].tasks[0].task) == bytes(payload)
+
+    run(scenario, GULF, REEF)
+
+
+def test_an_answer_without_address_returns_on_the_newest_connection():
+    async def scenario(gulf, reef):
+        for number in range(2):
+            gulf.send(reef, Ping(number))
+            await reef.wait(lambda end, n=number: len(end.messages) == n + 1)
+            reef.transport.send(GULF, None, Pong(number), configuration=0)
+            await gulf.wait(lambda end, n=number: len(end.messages) == n + 1)
+            gulf.transport.reopen(REEF.name)
+        assert gulf.messages == [Pong(0), Pong(1)]
+        assert gulf.transport.counts.reopened == 2
+
+    run(scenario, GULF, REEF)
+
+
+def test_a_burst_beyond_the_drain_limit_arrives_whole_and_in_order():
+    count = transport_module.DRAIN_LIMIT * 3
+
+    async def scenario(gulf, reef):
+        gulf.send(reef, Ping(0))
+        await reef.wait(lambda end: end.messages)
+        for number in range(1, count):
+            gulf.send(reef, Ping(number))
+            gulf.transport.flush()
+        await reef.wait(lambda end: len(end.messages) == count)
+        assert reef.messages == [Ping(number) for number in range(count)]
+
+    run(scenario, GULF, REEF)
+
+
+@pytest.mark.parametrize(
+    "frames",
+    [
+        [b"\xff\x00garbage"],
+        [b"[1,2,3]"],
+        [b'["a","b","",0,null,[["Nonsense",1]]]'],
+        [b""],
+        [b"", b"[]"],
+        [b"[" * 100_000],
+    ],
+)
+def test_garbage_is_dropped_and_the_next_message_arrives(frames):
+    async def scenario(gulf, reef):
+        with zmq.Context() as context, context.socket(zmq.DEALER) as socket:
+            socket.linger = 0
+            socket.connect(f"tcp://{reef.transport.address}")
+            socket.send_multipart(frames)
+            await reef.wait(lambda end: end.transport.counts.malformed == 1)
+        gulf.send(reef, Ping(1))
+        await reef.wait(lambda end: end.messages)
+        assert reef.messages == [Ping(1)]
+
+    run(scenario, GULF, REEF)
+
+
+def test_a_message_for_an_earlier_incarnation_is_answered_and_not_delivered():
+    async def scenario(gulf, reef):
+        gulf.transport.send(
+            Peer(REEF.name, "000000000000000f"),
+            reef.transport.address,
+            Ping(1),
+            configuration=0,
+        )
+        await gulf.wait(lambda end: end.messages)
+        assert gulf.messages == [Misaddressed(REEF.incarnation)]
+        assert reef.messages == []
+        assert reef.transport.counts.misaddressed == 1
+
+    run(scenario, GULF, REEF)
+
+
+def test_a_batch_above_the_size_limit_is_split(monkeypatch):
+    monkeypatch.setattr(transport_module, "MAX_ENVELOPE_BYTES", 1_000)
+    tasks = [
+        StartTasks(n, (TaskStart("id", n, msgspec.Raw(b'"%s"' % (b"x" * size)), 1, 1),))
+        for n, size in enumerate((300, 300, 300, 2_000, 300))
+    ]
+
+    async def scenario(gulf, reef):
+        for task in tasks:
+            gulf.send(reef, task)
+        await reef.wait(lambda end: len(end.messages) == 4)
+        assert [message.grant for message in reef.messages] == [0, 1, 2, 4]
+        assert gulf.transport.counts.oversized == 1
+
+    run(scenario, GULF, REEF)
+
+
+def test_a_peer_that_never_wrote_is_unroutable_without_an_address():
+    async def scenario(gulf):
+        gulf.transport.send(REEF, None, Ping(1), configuration=0)
+        await gulf.wait(lambda end: end.transport.counts.unroutable == 1)
+
+    run(scenario, GULF)
+
+
+def test_idle_connections_are_closed_and_used_ones_kept():
+    async def scenario(gulf, reef):
+        gulf.send(reef, Ping(1))
+        await reef.wait(lambda end: end.messages)
+        now = gulf.transport._clock()
+        gulf.transport.close_idle(now, idle_seconds=60)
+        assert gulf.transport.connections == 1
+        gulf.transport.close_idle(now + 61, idle_seconds=60)
+        assert gulf.transport.connections == 0
+
+    run(scenario, GULF, REEF)
