--- a/packages/client/banyanwheel_client/__init__.py
+++ b/packages/client/banyanwheel_client/__init__.py
@@ -0,0 +1,1 @@
+"""The banyanwheel command line and the HTTP client beneath it."""
--- /dev/null
+++ b/packages/client/banyanwheel_client/errors.py
@@ -0,0 +1,90 @@
+"""Errors of the client, each with the exit status that it leads to."""
+
+from banyanwheel_core.errors import BanyanwheelError
+from banyanwheel_core.models import Outcome, Reason
+
+from .status import ExitStatus
+
+__all__ = [
+    "ClientError",
+    "ConflictError",
+    "FailedError",
+    "ProblemError",
+    "RefusedError",
+    "UnknownOutcomeError",
+    "UnreachableError",
+    "UsageError",
+    "error_from_problem",
+]
+
+
+class ClientError(BanyanwheelError):
+    """Base of the client's errors."""
+
+    status = ExitStatus.FAILED
+
+
+class UsageError(ClientError):
+    """Options, settings or a file that the client cannot use."""
+
+    status = ExitStatus.USAGE
+
+
+class UnreachableError(ClientError):
+    """No entry answered, and nothing that takes effect was sent."""
+
+    status = ExitStatus.UNREACHABLE
+
+
+class UnknownOutcomeError(ClientError):
+    """The work may or may not have taken effect."""
+
+    status = ExitStatus.UNKNOWN
+
+
+class ProblemError(ClientError):
+    """An entry's ``application/problem+json`` answer, kept in ``problem``."""
+
+    def __init__(self, problem):
+        self.problem = problem
+        super().__init__(problem.summary)
+
+
+class RefusedError(ProblemError):
+    """Refused, and certain not to have run."""
+
+    status = ExitStatus.REFUSED
+
+
+class FailedError(ProblemError):
+    """Failed after some of the work ran."""
+
+    status = ExitStatus.FAILED
+
+
+class UnknownProblemError(ProblemError, UnknownOutcomeError):
+    """An entry's answer that leaves the outcome unknown."""
+
+    status = ExitStatus.UNKNOWN
+
+
+class ConflictError(ProblemError):
+    """Another body under the same id, or another version of the configuration."""
+
+    status = ExitStatus.CONFLICT
+
+
+def error_from_problem(problem):
+    """Returns the error that stands for ``problem``."""
+    if problem.reason == Reason.ID_CONFLICT or problem.status == 409:
+        return ConflictError(problem)
+    match problem.outcome:
+        case Outcome.NOT_RUN:
+            return RefusedError(problem)
+        case Outcome.RAN:
+            return FailedError(problem)
+        case Outcome.UNKNOWN:
+            return UnknownProblemError(problem)
+    if 400 <= problem.status < 500:
+        return RefusedError(problem)
+    return UnknownProblemError(problem)
