--- /dev/null
+++ b/tests/standins/process.py
@@ -0,0 +1,105 @@
+"""Starting real processes, and ending just those that were started."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+__all__ = ["READY_TIMEOUT_S", "STOP_TIMEOUT_S", "Process", "start_stand_in"]
+
+READY_TIMEOUT_S = 60
+STOP_TIMEOUT_S = 60
+ROOT = Path(__file__).resolve().parents[2]
+PACKAGES = [ROOT / "packages" / name for name in ("core", "daemon", "client")]
+
+
+class Process:
+    """One child process; ``ready`` is the object of its ready line."""
+
+    def __init__(self, name, arguments, errors):
+        self.name = name
+        self.ready = {}
+        self._errors = Path(errors)
+        with self._errors.open("ab") as stream:
+            self._child = subprocess.Popen(
+                [sys.executable, *arguments],
+                cwd=ROOT,
+                env=environment(),
+                stdout=subprocess.PIPE,
+                stderr=stream,
+                text=True,
+            )
+
+    @property
+    def pid(self):
+        """The process id."""
+        return self._child.pid
+
+    @property
+    def running(self):
+        """Whether the process has not ended."""
+        return self._child.poll() is None
+
+    def wait_ready(self):
+        """Reads the ready line; raises RuntimeError if the process ends first."""
+        line = self._child.stdout.readline()
+        if not line:
+            self._child.wait(STOP_TIMEOUT_S)
+            raise RuntimeError(f"{self.name} did not start: {self.errors()}")
+        self.ready = json.loads(line)
+        return self
+
+    def errors(self):
+        """What the process wrote to its standard error."""
+        return self._errors.read_text()
+
+    def kill(self):
+        """Ends the process at once."""
+        self._child.kill()
+        self._child.wait()
+
+    def freeze(self):
+        """Stops the process where it is until :meth:`thaw`."""
+        os.kill(self.pid, signal.SIGSTOP)
+
+    def thaw(self):
+        """Lets a frozen process go on."""
+        os.kill(self.pid, signal.SIGCONT)
+
+    def terminate(self):
+        """Asks the process to stop gracefully."""
+        if self.running:
+            self._child.terminate()
+
+    def wait(self, timeout_s=STOP_TIMEOUT_S):
+        """Waits for the end; returns the exit status, or None if it runs on."""
+        try:
+            return self._child.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def close(self):
+        """Ends the process in any state and releases its pipe."""
+        if self.running:
+            self.thaw()
+            self.terminate()
+            if self.wait() is None:
+                self.kill()
+        self._child.stdout.close()
+
+
+def environment():
+    """The environment of a child, in which the packages of this tree win."""
+    path = os.pathsep.join(str(part) for part in (ROOT, *PACKAGES))
+    return {**os.environ, "PYTHONPATH": path}
+
+
+def start_stand_in(module, errors, **options):
+    """Starts ``tests.standins.<module>`` and waits until it listens."""
+    arguments = ["-m", f"tests.standins.{module}"]
+    for option, value in options.items():
+        arguments += [f"--{option.replace('_', '-')}", str(value)]
+    name = options.get("name", module)
+    return Process(name, arguments, errors).wait_ready()
