--- a/packages/core/banyanwheel_core/coordinator.py
+++ b/packages/core/banyanwheel_core/coordinator.py
@@ -56,6 +56,7 @@
     max_jobs: int = 50_000
     max_answer_bytes: int = 64 * 2**20
     max_attempts: int = 3
+    partners: int = 32
     lost_worker_patience: float = 2.0
     move_wait_ms: int = 20
     reservation_refresh: float = 1.5
@@ -245,14 +246,14 @@
         return self._admit_service(spec) or self._admit_queue(spec, message)
 
     def _admit_service(self, spec):
-        members = self._members.offering(spec.service)
+        members = [m for m in self._members.members if spec.service in m.services]
         if not members:
             detail = f"no backend server offers {spec.service!r}"
             return Reason.UNKNOWN_SERVICE, detail, 0
         if not any(_fits(member, spec.needs) for member in members):
             detail = "no worker has the memory or accelerators that the tasks need"
             return Reason.NEVER_RUNNABLE, detail, 0
-        if not self._members.eligible(spec.service):
+        if not self._executors(spec.service):
             return Reason.NO_WORKER, "every worker is leaving", QUEUE_RETRY_MS
         return None
 
@@ -335,12 +336,17 @@
     def _candidates(self, queue, needs, now):
         return [
             Candidate(member.name, member.data_centre, member.slots)
-            for member in self._members.eligible(queue.flow.service)
+            for member in self._executors(queue.flow.service)
             if _fits(member, needs)
             and self._members.usable(member.name, now)
             and self._reservation(queue, member).refused_until <= now
         ]
 
+    def _executors(self, service):
+        """The partners that offer a service and have slots at present."""
+        partners = self._members.partners(service, self._limits.partners)
+        return [member for member in partners if member.slots]
+
     def _reservation(self, queue, member):
         known = queue.reservations.get(member.name)
         if known is None or known.incarnation != member.incarnation:
--- a/packages/core/banyanwheel_core/entry.py
+++ b/packages/core/banyanwheel_core/entry.py
@@ -40,6 +40,7 @@
     low_water: int = 100
     coordinators: int = 8
     deadline_margin: float = 1.0
+    lost_patience: float = 2.0
     max_pending: int = 20_000
     max_tries: int = 4
 
@@ -158,8 +159,12 @@
     def tick(self, now):
         """Acts on deadlines, and fetches ids before they run out."""
         effects = []
-        for token in self._timers.due(now):
-            effects += self._timed_out(self._pending[token])
+        for key in self._timers.due(now):
+            match key:
+                case ("lost", name):
+                    effects += self._give_up(name)
+                case token:
+                    effects += self._timed_out(self._pending[token])
         return effects + self._fetch_ids(now)
 
     # Ids.
@@ -362,6 +367,22 @@
                 stock.requested_at = None
         return effects
 
+    def peer_lost(self, name, now):
+        """A coordinator answers no connection: wait a little longer for it."""
+        self._timers.set(("lost", name), now + self._limits.lost_patience)
+
+    def peer_heard(self, name):
+        """A coordinator that was lost answers again."""
+        self._timers.cancel(("lost", name))
+
+    def _give_up(self, name):
+        effects = []
+        for pending in list(self._pending.values()):
+            if self._owner(pending.job_id).name == name:
+                self._close(pending)
+                effects += self._unreachable(pending)
+        return effects
+
     def _repeat(self, pending, now):
         match pending.message:
             case SubmitJob(job_id=job_id, spec=spec, fingerprint=fingerprint):
--- /dev/null
+++ b/packages/daemon/banyanwheel_daemon/agent.py
@@ -0,0 +1,236 @@
+"""The agent beside a backend server: executor and coordinator in one process."""
+
+import asyncio
+import time
+
+import msgspec
+from eliot import log_message
+
+from banyanwheel_core.announcements import AnnouncementSchedule
+from banyanwheel_core.coordinator import Coordinator
+from banyanwheel_core.effects import Abort, Execute, Peer, Send
+from banyanwheel_core.executor import Executor
+from banyanwheel_core.messages import HandoverTaken, MemberRecord
+from banyanwheel_core.placement import Placement
+
+from .announcements import make_application
+from .backend import BackendClient
+from .lifecycle import Lifecycle
+from .log_service import LogError
+from .node import Node
+from .web import WebServer
+
+__all__ = ["Agent", "run"]
+
+LEASE_MS = 2_000
+HANDOVER_TRIES = 10
+HANDOVER_PAUSE_SECONDS = 0.3
+TICK_SECONDS = 0.02
+
+
+class Agent(Node):
+    """Runs tasks on its backend server, and owns jobs."""
+
+    role = "agent"
+
+    def __init__(self, settings):
+        super().__init__(settings, settings.agent.address, settings.process.rack)
+        process = settings.process
+        self._placement = Placement(process.data_centre, self._random)
+        self._executor = Executor.from_settings(self._identity, settings.agent)
+        self._coordinator = Coordinator.from_settings(
+            self._identity, self._members, self._placement, settings.agent
+        )
+        self._backend = None
+        self._announcement = None
+        self._schedule = AnnouncementSchedule(
+            settings.agent.announce_lifetime_ms / 1_000, self._random
+        )
+        self._announced = None
+        self._announcing = False
+        self._leaving = False
+        self._successor = ""
+        self._handed_over = False
+        self._lifecycle = Lifecycle()
+        application = make_application(
+            process.name,
+            self._on_announcement,
+            lambda: self._lifecycle.serving,
+            self._metrics.render,
+        )
+        self._web = WebServer(application)
+        self._web.listen(settings.agent.http.host, settings.agent.http.port)
+
+    @property
+    def decisions(self):
+        """The executor and the coordinator."""
+        return (self._executor, self._coordinator)
+
+    @property
+    def load(self):
+        """The executor's load."""
+        return self._executor.load
+
+    async def main(self, env):
+        """Runs until a signal asks to stop, then leaves gracefully."""
+        self.start()
+        self._learn_record(self._record())
+        self._lifecycle.ready(env, self._identity.name, self._web, self.address)
+        await self._lifecycle.stop_asked()
+        await self._leave()
+        await self._web.close()
+        self.close()
+
+    def on_load(self, name, load):
+        """Takes in the load that an executor sent along."""
+        self._placement.loaded(name, load)
+
+    def on_effect(self, effect):
+        """Runs or stops a task on the backend server."""
+        match effect:
+            case Execute(task=task):
+                self.spawn(self._run(task))
+            case Abort(job_id=job_id, index=index):
+                self.spawn(self._backend.stop(job_id, index))
+
+    def on_tick(self, now):
+        """Announces this agent when that is due."""
+        self._placement.loaded(self._identity.name, self._executor.load)
+        record = self._record()
+        if record != self._announced or self._schedule.due(now):
+            self._announce(record, now)
+
+    def on_lost(self, name, now):
+        """Leaves a peer that does not answer out for a while."""
+        super().on_lost(name, now)
+        self.perform(self._coordinator.peer_lost(name, now))
+
+    def on_recovered(self, name):
+        """Waits again for a peer that had been lost."""
+        self._coordinator.peer_heard(name)
+
+    def _decide(self, sender, message, now):
+        if isinstance(message, HandoverTaken):
+            self._handed_over = True
+            return []
+        return super()._decide(sender, message, now)
+
+    # The backend server.
+
+    def _on_announcement(self, announcement):
+        known = self._backend
+        if known is None or known.address != announcement.address:
+            self._backend = BackendClient.from_announcement(
+                announcement, lease_ms=LEASE_MS
+            )
+        self._announcement = announcement
+        self.perform(self._executor.announced(announcement, time.monotonic()))
+
+    async def _run(self, task):
+        result = await self._backend.run(task)
+        self.perform(self._executor.finished(result, time.monotonic()))
+
+    # Announcing.
+
+    def _record(self):
+        announcement = self._announcement
+        serving = self._executor.serving and announcement is not None
+        return MemberRecord(
+            name=self._identity.name,
+            incarnation=self._identity.incarnation,
+            address=self._settings.agent.advertise or self.address,
+            data_centre=self._settings.process.data_centre,
+            rack=self._settings.process.rack,
+            services=announcement.services if announcement else (),
+            slots=self._executor.slots if serving else 0,
+            memory_mb=announcement.memory_mb if announcement else 0,
+            accelerators=announcement.accelerators if announcement else 0,
+            lifetime_ms=self._settings.agent.announce_lifetime_ms,
+            leaving=self._leaving,
+            successor=self._successor,
+        )
+
+    def _learn_record(self, record):
+        now = time.monotonic()
+        self._members.apply(record, -1, 0, now)
+
+    def _announce(self, record, now):
+        waits = self._announced is not None and not self._schedule.due(now)
+        if self._announcing or (waits and record == self._announced):
+            return
+        if self._announced is None and not self._schedule.due(now):
+            return
+        self._announcing = True
+        self.spawn(self._append_record(record))
+
+    async def _append_record(self, record):
+        stream = self._settings.log_service.members_stream
+        try:
+            await self._log.append(stream, msgspec.json.encode(record))
+        except LogError as error:
+            self._schedule.failed(time.monotonic())
+            log_message("members:not-announced", fault=str(error))
+            return False
+        finally:
+            self._announcing = False
+        self._announced = record
+        self._schedule.succeeded(time.monotonic())
+        return True
+
+    # Leaving.
+
+    async def _leave(self):
+        self._lifecycle.stopping()
+        self.perform(self._executor.stop())
+        self._coordinator.stop()
+        self._leaving = True
+        grace = self._settings.agent.grace_ms / 1_000
+        deadline = time.monotonic() + grace
+        while time.monotonic() < deadline and not self._idle:
+            await asyncio.sleep(TICK_SECONDS)
+        self.perform(self._coordinator.abandon(time.monotonic()))
+        await self._hand_over()
+        self._lifecycle.stopped()
+
+    @property
+    def _idle(self):
+        return self._executor.idle and self._coordinator.idle
+
+    async def _hand_over(self):
+        successor = self._choose_successor()
+        if successor is None:
+            return
+        peer = Peer(successor.name, successor.incarnation)
+        for _ in range(HANDOVER_TRIES):
+            messages = self._coordinator.handover(time.monotonic())
+            self.perform([Send(peer, message) for message in messages])
+            await asyncio.sleep(HANDOVER_PAUSE_SECONDS)
+            if self._handed_over:
+                self._successor = successor.name
+                await self._append_record(self._record())
+                return
+
+    def _choose_successor(self):
+        others = [
+            member
+            for member in self._members.members
+            if member.name != self._identity.name
+            and not member.leaving
+            and self._members.usable(member.name, time.monotonic())
+        ]
+        near = [
+            member
+            for member in others
+            if member.data_centre == self._settings.process.data_centre
+        ]
+        chosen = near or others
+        return self._random.choice(chosen) if chosen else None
+
+
+def run(settings, env):
+    """Runs an agent until it is told to stop."""
+    asyncio.run(_run(settings, env))
+
+
+async def _run(settings, env):
+    await Agent(settings).main(env)
--- /dev/null
+++ b/packages/daemon/banyanwheel_daemon/entry.py
@@ -0,0 +1,139 @@
+"""The entry: HTTP for callers and operators, messages to the agents."""
+
+import asyncio
+import itertools
+import time
+
+from banyanwheel_core.entry import Entry, NoIdsError
+from banyanwheel_core.models import JobState, Reason
+
+from .lifecycle import Lifecycle
+from .node import Node
+from .problems import ProblemError
+from .web import WebServer, make_application
+
+__all__ = ["EntryNode", "run"]
+
+READINESS_SECONDS = 1.0  # readiness is down this long before connections are refused
+GRACE_SECONDS = 30.0
+POLL_SECONDS = 0.02
+
+
+class EntryNode(Node):
+    """Answers callers; implements the JobDesk of :mod:`.web`."""
+
+    role = "entry"
+
+    def __init__(self, settings):
+        super().__init__(settings, settings.entry.address)
+        self._entry = Entry(
+            self._identity,
+            self._members,
+            self._random,
+            data_centre=settings.process.data_centre,
+        )
+        self._futures = {}
+        self._tokens = itertools.count()
+        self._lifecycle = Lifecycle()
+        application = make_application(
+            self,
+            self._metrics.render,
+            max_body_bytes=settings.limits.max_body_bytes,
+        )
+        self._web = WebServer(application)
+        self._web.listen(settings.entry.http.host, settings.entry.http.port)
+
+    @property
+    def decisions(self):
+        """The entry's decision object."""
+        return (self._entry,)
+
+    @property
+    def ready(self):
+        """Whether new work is welcome: serving, with ids at hand."""
+        return self._lifecycle.serving and self._entry.ready
+
+    async def main(self, env):
+        """Runs until a signal asks to stop, then finishes what is in progress."""
+        self.start()
+        self._lifecycle.ready(env, self._identity.name, self._web, self.address)
+        await self._lifecycle.stop_asked()
+        self._lifecycle.stopping()
+        await asyncio.sleep(READINESS_SECONDS)
+        self._web.stop_listening()
+        deadline = time.monotonic() + GRACE_SECONDS
+        while self._web.in_progress and time.monotonic() < deadline:
+            await asyncio.sleep(POLL_SECONDS)
+        await self._web.close()
+        self._lifecycle.stopped()
+        self.close()
+
+    def on_load(self, name, load):
+        """Takes in the load that an agent sent along."""
+        self._entry.loaded(name, load)
+
+    def on_tick(self, now):
+        """Fetches ids before they run out."""
+        self.perform(self._entry.tick(now))
+
+    def on_members_changed(self):
+        """Turns to the successors of coordinators that have left."""
+        self.perform(self._entry.members_changed(time.monotonic()))
+
+    def on_lost(self, name, now):
+        """Waits a little longer for a coordinator that does not answer."""
+        super().on_lost(name, now)
+        self._entry.peer_lost(name, now)
+
+    def on_recovered(self, name):
+        """Waits again for a coordinator that had been lost."""
+        self._entry.peer_heard(name)
+
+    def on_answered(self, effect):
+        """Gives a waiting caller its answer."""
+        future = self._futures.pop(effect.token, None)
+        if future is not None and not future.done():
+            future.set_result(effect.answer)
+
+    # The JobDesk.
+
+    async def issue_ids(self, count):
+        """Returns fresh job ids."""
+        try:
+            return self._entry.take_ids(count, time.monotonic())
+        except NoIdsError as error:
+            raise ProblemError(
+                Reason.NO_COORDINATOR, str(error), retry_after_ms=1_000
+            ) from error
+
+    async def submit(self, job_id, spec, fingerprint):
+        """Returns the job's answer."""
+        return await self._ask(self._entry.submit, job_id, spec, fingerprint)
+
+    async def query(self, job_id):
+        """Returns the job's answer, or None while it is still running."""
+        answer = await self._ask(self._entry.query, job_id)
+        return None if answer.state == JobState.RUNNING else answer
+
+    async def cancel(self, job_id):
+        """Cancels the job and returns the answer that tells what came of it."""
+        return await self._ask(self._entry.cancel, job_id)
+
+    async def _ask(self, question, *arguments):
+        token = next(self._tokens)
+        future = asyncio.get_running_loop().create_future()
+        self._futures[token] = future
+        self.perform(question(token, *arguments, time.monotonic()))
+        try:
+            return await future
+        finally:
+            self._futures.pop(token, None)
+
+
+def run(settings, env):
+    """Runs an entry until it is told to stop."""
+    asyncio.run(_run(settings, env))
+
+
+async def _run(settings, env):
+    await EntryNode(settings).main(env)
--- /dev/null
+++ b/packages/daemon/banyanwheel_daemon/node.py
@@ -0,0 +1,338 @@
+"""What entries and agents share: messages, membership and configuration.
+
+The decision objects are driven from here: each message and each tick gives effects,
+which are carried out in order on the one loop.
+"""
+
+import asyncio
+import secrets
+import time
+from collections import deque
+from random import Random
+
+import msgspec
+from eliot import log_message
+from tornado.ioloop import PeriodicCallback
+
+from banyanwheel_core import links
+from banyanwheel_core.effects import Answered, Count, Peer, Send
+from banyanwheel_core.links import Links
+from banyanwheel_core.membership import Membership
+from banyanwheel_core.messages import (
+    Grant,
+    HandoverTaken,
+    IdBlock,
+    InspectReply,
+    JobAccepted,
+    JobAnswer,
+    MemberRecord,
+    MembersReply,
+    MembersRequest,
+    Misaddressed,
+    Ping,
+    Pong,
+    ReservationQueued,
+    ReservationRefused,
+    StartRefused,
+    TaskResults,
+)
+
+from .log_service import Follower, LogService
+from .metrics import Metrics
+from .transport import Transport
+
+__all__ = ["Node"]
+
+TICK_MS = 20
+IDLE_CONNECTION_SECONDS = 120.0
+
+# Messages that go back the way their question came.
+_REPLIES = (
+    Grant,
+    HandoverTaken,
+    IdBlock,
+    InspectReply,
+    JobAccepted,
+    JobAnswer,
+    MembersReply,
+    Pong,
+    ReservationQueued,
+    ReservationRefused,
+    StartRefused,
+    TaskResults,
+)
+
+
+class Node:
+    """One process of the system; roles add their decision objects to it."""
+
+    role = "node"
+
+    def __init__(self, settings, address, rack=""):
+        self._settings = settings
+        self._random = Random()
+        incarnation = secrets.token_hex(8)
+        self._identity = Peer(settings.process.name, incarnation)
+        self._metrics = Metrics(settings.process.name, self.role)
+        self._members = Membership(
+            settings.process.name,
+            settings.process.data_centre,
+            rack,
+            random=self._random,
+        )
+        self._links = Links()
+        self._log = LogService.from_settings(settings.log_service)
+        self._effects = deque()
+        self._performing = False
+        self._known_incarnations = {}
+        self._pings = 0
+        self._tasks = set()
+        self._transport = Transport(
+            settings.process.name, incarnation, address, self._received
+        )
+        self._ticker = PeriodicCallback(self._tick, TICK_MS)
+
+    @property
+    def identity(self):
+        """This run of this process."""
+        return self._identity
+
+    @property
+    def address(self):
+        """The address that peers are told."""
+        return self._transport.address
+
+    # What a role provides.
+
+    @property
+    def decisions(self):
+        """The role's decision objects with ``handle``, ``tick`` and ``awaited``."""
+        raise NotImplementedError
+
+    @property
+    def load(self):
+        """The load sent along with messages, or None."""
+        return None
+
+    def on_load(self, name, load):
+        """Takes in the load that a peer sent along."""
+
+    def on_members_changed(self):
+        """Is called after the membership has changed."""
+
+    # Running.
+
+    def start(self):
+        """Begins to follow the streams and to tick."""
+        stream = self._settings.log_service.members_stream
+        follower = Follower(
+            self._log,
+            stream,
+            poll_ms=self._settings.log_service.poll_ms,
+            random=self._random,
+        )
+        self.spawn(follower.follow(self._on_members_page, self._on_members_lost))
+        self._ticker.start()
+
+    def spawn(self, coroutine):
+        """Runs a coroutine beside the rest; a fault in it is logged."""
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+        return task
+
+    def close(self):
+        """Stops ticking and closes what is open."""
+        self._ticker.stop()
+        for task in self._tasks:
+            task.cancel()
+        self._transport.flush()
+        self._transport.close()
+        self._metrics.close()
+
+    def _finished(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_message("node:fault", fault=repr(task.exception()))
+
+    # Effects.
+
+    def perform(self, effects):
+        """Carries out effects in order; those that they cause come after them."""
+        self._effects.extend(effects)
+        if self._performing:
+            return
+        self._performing = True
+        try:
+            while self._effects:
+                self._perform(self._effects.popleft())
+        finally:
+            self._performing = False
+
+    def _perform(self, effect):
+        match effect:
+            case Send(peer=peer, message=message):
+                self._send(peer, message)
+            case Count(name=name, reason=reason):
+                self._metrics.count(f"banyanwheel.{name}", reason)
+            case Answered():
+                self.on_answered(effect)
+            case _:
+                self.on_effect(effect)
+
+    def on_answered(self, effect):
+        """Gives a waiting caller its answer."""
+
+    def on_effect(self, effect):
+        """Carries out an effect that only this role knows."""
+
+    def _send(self, peer, message):
+        if peer == self._identity:
+            self.perform(self._decide(peer, message, time.monotonic()))
+            return
+        self._transport.send(
+            peer,
+            self._address_for(peer, message),
+            message,
+            configuration=self.configuration_offset,
+            load=self.load,
+        )
+
+    def _address_for(self, peer, message):
+        if isinstance(message, _REPLIES):
+            return None
+        member = self._members.find(peer.name)
+        return member.address if member is not None else None
+
+    @property
+    def configuration_offset(self):
+        """Offset of the configuration in force, or -1."""
+        return -1
+
+    # Messages.
+
+    def _received(self, envelope):
+        now = time.monotonic()
+        sender = Peer(envelope.sender, envelope.incarnation)
+        self._heard(sender.name, now)
+        if envelope.load is not None:
+            self.on_load(sender.name, envelope.load)
+        for message in envelope.messages:
+            self.perform(self._decide(sender, message, now))
+
+    def _heard(self, name, now):
+        self._members.cleared(name)
+        for step in self._links.heard(name, now):
+            if isinstance(step, links.Recovered):
+                self.on_recovered(name)
+
+    def on_recovered(self, name):
+        """Is called when a peer that was lost is heard again."""
+
+    def _decide(self, sender, message, now):
+        match message:
+            case Ping(number=number):
+                return [Send(sender, Pong(number))]
+            case Pong():
+                return []
+            case Misaddressed(incarnation=incarnation):
+                return self._replaced(sender.name, incarnation, now)
+            case MembersRequest():
+                return [Send(sender, self._members.reply(now))]
+            case MembersReply(members=members):
+                self._members.merge(members, now)
+                self._check_members(now)
+                return []
+        effects = []
+        for decision in self.decisions:
+            effects += decision.handle(sender, message, now)
+        return effects
+
+    def _replaced(self, name, incarnation, now):
+        effects = []
+        for decision in self.decisions:
+            if hasattr(decision, "peer_replaced"):
+                effects += decision.peer_replaced(name, incarnation, now)
+        return effects
+
+    # Time.
+
+    def _tick(self):
+        now = time.monotonic()
+        for decision in self.decisions:
+            due = decision.next_tick
+            if due is not None and due <= now:
+                self.perform(decision.tick(now))
+        self._check_links(now)
+        self.on_tick(now)
+
+    def on_tick(self, now):
+        """Is called at each tick."""
+
+    @property
+    def awaited(self):
+        """Names of the peers from which something is awaited."""
+        names = set()
+        for decision in self.decisions:
+            names |= getattr(decision, "awaited", set())
+        return names
+
+    def _check_links(self, now):
+        for step in self._links.tick(self.awaited, now):
+            match step:
+                case links.Probe(name=name):
+                    self._ping(name)
+                case links.Reopen(name=name):
+                    self._transport.reopen(name)
+                    self._ask_again(name, now)
+                case links.Lost(name=name):
+                    self.on_lost(name, now)
+        self._transport.close_idle(now, IDLE_CONNECTION_SECONDS)
+
+    def _ping(self, name):
+        member = self._members.find(name)
+        if member is not None:
+            self._pings += 1
+            peer = Peer(name, member.incarnation)
+            self.perform([Send(peer, Ping(self._pings))])
+
+    def _ask_again(self, name, now):
+        self._ping(name)
+        for decision in self.decisions:
+            if hasattr(decision, "peer_silent"):
+                self.perform(decision.peer_silent(name, now))
+
+    def on_lost(self, name, now):
+        """Is called when several connections to a peer gave no answer."""
+        self._members.suspect(name, now)
+
+    # Membership.
+
+    def _on_members_page(self, page):
+        now = time.monotonic()
+        self._members.log_seen(now)
+        for record in page.records:
+            self._apply_member(record, now)
+        self._members.tick(now)
+        self._check_members(now)
+
+    def _apply_member(self, record, now):
+        try:
+            member = msgspec.json.decode(record.data, type=MemberRecord)
+        except msgspec.MsgspecError as error:
+            log_message("members:malformed", offset=record.offset, fault=str(error))
+            return
+        self._members.apply(member, record.offset, record.age_ms, now)
+
+    def _on_members_lost(self, error):
+        self._members.log_lost(time.monotonic())
+        log_message("members:unreadable", fault=str(error))
+
+    def _check_members(self, now):
+        """Tells the decisions which peers have been replaced."""
+        for member in self._members.members:
+            before = self._known_incarnations.get(member.name)
+            self._known_incarnations[member.name] = member.incarnation
+            if before is not None and before != member.incarnation:
+                self.perform(self._replaced(member.name, member.incarnation, now))
+        self.on_members_changed()
