--- /dev/null
+++ b/packages/daemon/banyanwheel_daemon/handlers.py
@@ -0,0 +1,266 @@
+"""What all HTTP handlers share: checked JSON bodies, problems, and probes."""
+
+import json
+import sys
+from http import HTTPStatus
+
+import msgspec
+from eliot import write_traceback
+from tornado.web import Application, HTTPError, RequestHandler, stream_request_body
+
+from banyanwheel_core import checking
+from banyanwheel_core.errors import FindingsError
+from banyanwheel_core.models import Reason
+
+from . import problems
+from .problems import ProblemError
+
+__all__ = [
+    "BodyHandler",
+    "JsonHandler",
+    "NotFoundHandler",
+    "build_application",
+    "probe_routes",
+]
+
+JSON_TYPE = "application/json"
+MAX_NESTING = 100  # levels of arrays and objects
+OPENERS = (b"[", b"{")
+
+
+class JsonHandler(RequestHandler):
+    """Answers with JSON, and with a problem for every error."""
+
+    def set_default_headers(self):
+        """Leaves out the library's own name and version."""
+        self.clear_header("Server")
+
+    def compute_etag(self):
+        """Returns None: no answer is cached."""
+
+    def write_json(self, value, content_type=JSON_TYPE):
+        """Finishes the request with ``value`` as JSON."""
+        self.set_header("Content-Type", content_type)
+        self.finish(msgspec.json.encode(value))
+
+    def write_problem(self, problem):
+        """Finishes the request with a problem."""
+        self.set_status(problem.status)
+        seconds = problem.retry_after_seconds
+        if seconds is not None:
+            self.set_header("Retry-After", str(seconds))
+        self.write_json(problem, problems.CONTENT_TYPE)
+
+    def write_error(self, status_code, **kwargs):
+        """Turns any error that ends a request into a problem."""
+        _, error, _ = kwargs.get("exc_info", (None, None, None))
+        if status_code == HTTPStatus.METHOD_NOT_ALLOWED:
+            self.set_header("Allow", ", ".join(self._methods()))
+        if isinstance(error, ProblemError):
+            self.write_problem(error.problem)
+            return
+        detail = (error.log_message or "") if isinstance(error, HTTPError) else ""
+        self.write_problem(problems.from_status(status_code, detail))
+
+    def log_exception(self, typ, value, tb):
+        """Logs faults of this program, not those of the request."""
+        if not isinstance(value, (ProblemError, HTTPError)):
+            write_traceback(exc_info=(typ, value, tb))
+
+    def _methods(self):
+        """Returns the methods that this handler implements."""
+        return [
+            method
+            for method in self.SUPPORTED_METHODS
+            if getattr(type(self), method.lower())
+            is not getattr(RequestHandler, method.lower())
+        ]
+
+
+@stream_request_body
+class BodyHandler(JsonHandler):
+    """Reads a bounded body; what is beyond the bound is read and let go.
+
+    A connection closed before the whole body was read would lose the answer.
+    The application's settings give the bound ``max_body_bytes`` and a set
+    ``in_progress`` that holds each handler until its answer is written out.
+    """
+
+    def prepare(self):
+        """Lets the body through to this handler, whatever its size."""
+        self.settings["in_progress"].add(self)
+        self._body = bytearray()
+        self._body_bytes = 0
+        self.request.connection.set_max_body_size(sys.maxsize)
+
+    def data_received(self, chunk):
+        """Keeps a part of the body while it is within the bound."""
+        self._body_bytes += len(chunk)
+        if self._body_bytes <= self.settings["max_body_bytes"]:
+            self._body += chunk
+        else:
+            self._body.clear()
+
+    def finish(self, chunk=None):
+        """Ends the request; it is in progress until the answer is written out."""
+        written = super().finish(chunk)
+        written.add_done_callback(self._leave)
+        return written
+
+    def on_connection_close(self):
+        """Forgets a request that nobody waits for."""
+        super().on_connection_close()
+        self._leave()
+
+    def read_json(self, structure):
+        """Returns the body as ``structure``; raises ProblemError for any fault."""
+        self._check_type()
+        self._check_size()
+        body = bytes(self._body)
+        try:
+            value = msgspec.json.decode(body, type=structure)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+            value = _diagnose(body, structure)
+        _check_nesting(body)
+        return value
+
+    def _leave(self, written=None):
+        self.settings["in_progress"].discard(self)
+
+    def _check_type(self):
+        header = self.request.headers.get("Content-Type", "")
+        given = header.partition(";")[0].strip().lower()
+        if given != JSON_TYPE:
+            detail = f"the content type is '{given}' and must be {JSON_TYPE}"
+            raise ProblemError(Reason.WRONG_TYPE, detail, place="Content-Type")
+
+    def _check_size(self):
+        limit = self.settings["max_body_bytes"]
+        if self._body_bytes > limit:
+            detail = f"the body has {self._body_bytes} bytes and may have {limit}"
+            raise ProblemError(Reason.TOO_LARGE, detail)
+
+
+class NotFoundHandler(JsonHandler):
+    """Answers for paths that don't exist."""
+
+    def prepare(self):
+        """Ends the request."""
+        raise HTTPError(404, "no such path")
+
+
+class _HealthHandler(JsonHandler):
+    """``GET /health``: answers as long as the loop runs."""
+
+    def get(self):
+        self.write_json({"status": "ok"})
+
+
+class _ReadyHandler(JsonHandler):
+    """``GET /ready``: whether new work is welcome."""
+
+    def initialize(self, is_ready):
+        self._is_ready = is_ready
+
+    def get(self):
+        if not self._is_ready():
+            raise ProblemError(Reason.STOPPING, "takes no new work")
+        self.write_json({"status": "ready"})
+
+
+class _MetricsHandler(JsonHandler):
+    """``GET /metrics``, in the Prometheus text format."""
+
+    def initialize(self, render):
+        self._render = render
+
+    def get(self):
+        self.set_header("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+        self.finish(self._render())
+
+
+def probe_routes(is_ready, render_metrics):
+    """Returns the routes ``/health``, ``/ready`` and ``/metrics``."""
+    return [
+        (r"/health", _HealthHandler),
+        (r"/ready", _ReadyHandler, {"is_ready": is_ready}),
+        (r"/metrics", _MetricsHandler, {"render": render_metrics}),
+    ]
+
+
+def build_application(routes, max_body_bytes):
+    """Returns an application whose every error is a problem."""
+    return Application(
+        routes,
+        default_handler_class=NotFoundHandler,
+        log_function=_log_nothing,
+        max_body_bytes=max_body_bytes,
+        in_progress=set(),
+    )
+
+
+def _log_nothing(handler):
+    """Leaves access lines out: each job has its own log lines."""
+
+
+def _diagnose(body, structure):
+    """Raises a ProblemError that tells all faults of a body, with their places."""
+    try:
+        data = msgspec.json.decode(body)
+    except RecursionError:
+        raise _too_deep() from None
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise _syntax_problem(body, str(error)) from None
+    try:
+        return checking.convert(data, structure)
+    except FindingsError as error:
+        raise ProblemError.from_findings(error.findings) from None
+
+
+def _syntax_problem(body, fault):
+    """Returns the ProblemError for a body that isn't JSON, with line and column.
+
+    The standard library's decoder knows the place; ``fault`` is for what it accepts
+    all the same, such as ``NaN``.
+    """
+    try:
+        json.loads(body)
+    except RecursionError:
+        return _too_deep()
+    except json.JSONDecodeError as error:
+        place = f"line {error.lineno} column {error.colno}"
+        fault = error.msg
+    except UnicodeDecodeError as error:
+        line = body.count(b"\n", 0, error.start) + 1
+        column = error.start - body.rfind(b"\n", 0, error.start)
+        place = f"line {line} column {column}"
+    else:
+        place = ""
+    detail = f"{place}: {fault}" if place else fault
+    return ProblemError(Reason.MALFORMED, detail, place=place)
+
+
+def _check_nesting(body):
+    """Refuses what would be too deep once it's wrapped in a message."""
+    if sum(body.count(opener) for opener in OPENERS) <= MAX_NESTING:
+        return
+    level = [msgspec.json.decode(body)]
+    for _ in range(MAX_NESTING):
+        level = [child for value in level for child in _children(value)]
+        if not level:
+            return
+    raise _too_deep()
+
+
+def _children(value):
+    match value:
+        case dict():
+            return list(value.values())
+        case list():
+            return value
+    return ()
+
+
+def _too_deep():
+    detail = f"arrays and objects are nested more than {MAX_NESTING} levels deep"
+    return ProblemError(Reason.MALFORMED, detail)
