Run every command of the language from the command line and on an entry

Operations executes parsed commands at an abstract desk; the client parses a command before it sends it, repeats what is harmless and names the outcome of the rest. A balancer's 5xx without an outcome counts as no answer.

--- a/packages/client/banyanwheel_client/__main__.py
+++ b/packages/client/banyanwheel_client/__main__.py
@@ -18,7 +18,7 @@
 
 def main(args, env):
     """Runs the command line ``args`` in ``env``; returns an ExitStatus."""
-    printer = Printer(env, as_json=False)
+    printer = Printer(env)
     command = typer.main.get_command(app)
     try:
         with redirect_stdout(env.stdout), redirect_stderr(env.stderr):
--- a/packages/client/banyanwheel_client/cli/app.py
+++ b/packages/client/banyanwheel_client/cli/app.py
@@ -5,77 +5,120 @@
 import msgspec
 import typer
 
+from banyanwheel_core.language import Reconfigure, Submit, parse
 from banyanwheel_core.models import JobSpec
 
-from ..client import DEFAULT_TRY_TIMEOUT_S
 from ..errors import UsageError
-from .run import Options, Run
+from .options import with_run
+from .prompt import Prompt
+from .run import Run
 
 __all__ = ["app"]
 
 app = typer.Typer(
     add_completion=False,
-    no_args_is_help=False,
     pretty_exceptions_enable=False,
+    rich_markup_mode=None,
     help="Asks what a banyanwheel system does, and tells it what to do.",
 )
 
-Entries = Annotated[
-    list[str] | None,
-    typer.Option(
-        "--entry",
-        metavar="URL",
-        help="An entry to use; may be given again (or BANYANWHEEL_ENTRIES).",
-    ),
-]
-Patience = Annotated[
-    float,
-    typer.Option(
-        min=0, metavar="SECONDS", help="How long to retry what was refused, not run."
-    ),
-]
-TryTimeout = Annotated[
-    float,
-    typer.Option(
-        min=0.01, metavar="SECONDS", help="How long one entry may take to answer."
-    ),
-]
-AsJson = Annotated[
-    bool, typer.Option("--json", help="Print JSON lines, also on a terminal.")
-]
-
-
-@app.callback()
-def _main():
-    """Keeps the subcommand's name in the command line."""
+Words = Annotated[list[str], typer.Argument(help="The rest of the command.")]
 
 
 @app.command()
+@with_run
 def submit(
-    context: typer.Context,
+    run: Run,
     file: Annotated[str, typer.Argument(help="A job as JSON; - is standard input.")],
-    entry: Entries = None,
-    patience: Patience = 0.0,
-    try_timeout: TryTimeout = DEFAULT_TRY_TIMEOUT_S,
-    as_json: AsJson = False,
 ):
-    """Submits a job and prints its answer."""
-    run = Run(context.obj, Options(tuple(entry or ()), patience, try_timeout, as_json))
-    spec = _read_job(run.environment, file)
-    run.printer.answer(run.call(lambda client: client.submit(spec)))
+    """Submit a job and print its answer."""
+    return run.execute(Submit(_read_json(run.environment, file, JobSpec)))
 
 
-def _read_job(environment, file):
+@app.command()
+@with_run
+def ask(run: Run, text: Words):
+    """Run any command of the language."""
+    return _execute_words(run, *text)
+
+
+@app.command()
+@with_run
+def show(run: Run, words: Words):
+    """Show rows of a table: TABLE [where FILTER] [order by FIELD [desc]] [limit N]."""
+    return _execute_words(run, "show", *words)
+
+
+@app.command()
+@with_run
+def why(run: Run, job_id: str):
+    """Tell why a job waits, was refused, or runs where it does."""
+    return _execute_words(run, "why", job_id)
+
+
+@app.command()
+@with_run
+def cancel(run: Run, words: Words):
+    """Cancel a job: JOB_ID, or jobs where FILTER."""
+    return _execute_words(run, "cancel", *words)
+
+
+@app.command()
+@with_run
+def drain(run: Run, kind: str, name: str):
+    """Keep new work away from a worker, rack or data-centre."""
+    return _execute_words(run, "drain", kind, name)
+
+
+@app.command()
+@with_run
+def undrain(run: Run, kind: str, name: str):
+    """Lift a drain."""
+    return _execute_words(run, "undrain", kind, name)
+
+
+@app.command()
+@with_run
+def reconfigure(
+    run: Run,
+    file: Annotated[str, typer.Argument(help="A configuration; - is standard input.")],
+    base: Annotated[
+        int | None,
+        typer.Option(
+            "--from",
+            min=0,
+            metavar="OFFSET",
+            help="The version that it was made from; else the one in force.",
+        ),
+    ] = None,
+):
+    """Publish a configuration."""
+    document = _read_json(run.environment, file, dict)
+    return run.execute(Reconfigure(document, base))
+
+
+@app.command()
+@with_run
+def prompt(run: Run):
+    """Run commands line by line, with history and completion on a terminal."""
+    return Prompt(run).run()
+
+
+def _execute_words(run, *words):
+    return run.execute(parse(" ".join(words)))
+
+
+def _read_json(environment, file, kind):
     data = _read(environment, file)
     try:
-        return msgspec.json.decode(data, type=JobSpec)
-    except msgspec.MsgspecError as error:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise UsageError(f"{file}: {error}") from error
 
 
 def _read(environment, file):
     if file == "-":
-        return environment.stdin.read().encode()
+        return environment.stdin.read()
     try:
         with open(file, "rb") as stream:
             return stream.read()
--- a/packages/client/banyanwheel_client/cli/run.py
+++ b/packages/client/banyanwheel_client/cli/run.py
@@ -2,11 +2,15 @@
 
 import asyncio
 from dataclasses import dataclass
+from urllib.parse import urlsplit
+
+from banyanwheel_core.language import CancelJob, Show, Submit, Why, command_text
 
 from ..client import Client, ClientSettings
 from ..context import Environment
-from ..errors import ProblemError, UsageError
+from ..errors import InterruptedJobError, ProblemError, UsageError
 from ..output import Printer
+from ..status import ExitStatus
 
 __all__ = ["Options", "Run"]
 
@@ -27,33 +31,69 @@
     """One run of a subcommand."""
 
     def __init__(self, environment: Environment, options: Options):
-        self.environment = environment
-        self.printer = Printer(environment, options.as_json)
+        self._environment = environment
         self._options = options
+        self._printer = Printer(environment, options.as_json)
+        self._settings = _client_settings(environment, options)
+
+    @property
+    def environment(self):
+        """The environment that the run was started in."""
+        return self._environment
 
-    def call(self, work):
-        """Runs ``work(client)`` to its end and returns what it returns."""
-        return asyncio.run(self._call(work))
+    @property
+    def printer(self):
+        """Prints as the options ask."""
+        return self._printer
 
-    async def _call(self, work):
-        client = Client(self._settings())
+    def execute(self, command):
+        """Executes a parsed command and prints what came of it."""
+        return asyncio.run(self._execute(command))
+
+    async def _execute(self, command):
+        client = Client(self._settings)
         try:
-            return await work(client)
+            return await self._print_result(client, command)
         except ProblemError as error:
             if self._options.as_json:
-                self.printer.answer(error.problem)
+                self._printer.document(error.problem)
             raise
+        except asyncio.CancelledError:
+            if not client.unanswered:
+                raise
+            message = f"{client.unanswered}: interrupted, outcome unknown"
+            raise InterruptedJobError(message) from None
         finally:
             client.close()
 
-    def _settings(self):
-        text = self.environment.variables.get(ENTRIES_VARIABLE, "")
-        entries = self._options.entries or tuple(text.replace(",", " ").split())
-        if not entries:
-            raise UsageError(f"no entry: give --entry URL or set {ENTRIES_VARIABLE}")
-        for entry in entries:
-            if not entry.startswith(("http://", "https://")):
-                raise UsageError(f"--entry {entry}: not an http or https URL")
-        return ClientSettings(
-            entries, self._options.patience, self._options.try_timeout
-        )
+    async def _print_result(self, client, command):
+        if isinstance(command, Submit):
+            self._printer.document(await client.submit(command.spec))
+            return ExitStatus.OK
+        repeatable = isinstance(command, Show | Why | CancelJob)
+        reply = await client.command(command_text(command), repeatable)
+        self._printer.rows(reply.rows)
+        if not reply.incomplete:
+            return ExitStatus.OK
+        self._printer.incomplete(reply.incomplete)
+        return ExitStatus.INCOMPLETE
+
+
+def _client_settings(environment, options):
+    text = environment.variables.get(ENTRIES_VARIABLE, "")
+    entries = options.entries or tuple(text.replace(",", " ").split())
+    if not entries:
+        raise UsageError(f"no entry: give --entry URL or set {ENTRIES_VARIABLE}")
+    for entry in entries:
+        _check_entry(entry)
+    return ClientSettings(entries, options.patience, options.try_timeout)
+
+
+def _check_entry(entry):
+    try:
+        parts = urlsplit(entry)
+        valid = parts.scheme in ("http", "https") and parts.hostname and parts.port != 0
+    except ValueError:
+        valid = False
+    if not valid:
+        raise UsageError(f"--entry {entry}: not an http or https URL")
--- a/packages/client/banyanwheel_client/client.py
+++ b/packages/client/banyanwheel_client/client.py
@@ -1,10 +1,11 @@
-"""Submits, cancels and asks through any of several entries."""
+"""Submits jobs and commands through any of several entries."""
 
 import asyncio
 import time
 from dataclasses import dataclass
 from errno import ECONNREFUSED, EHOSTUNREACH, ENETUNREACH
 from socket import gaierror
+from typing import Any
 from urllib.parse import quote
 
 import msgspec
@@ -20,16 +21,18 @@
 )
 from .problem import Problem
 
-__all__ = ["Client", "ClientSettings"]
+__all__ = ["Client", "ClientSettings", "Reply"]
 
 DEFAULT_TRY_TIMEOUT_S = 5.0
 CONNECT_TIMEOUT_S = 2.0
 GRACE_S = 5.0  # waited beyond a job's deadline before its outcome is called unknown
 ROUND_PAUSE_S = 0.2  # between two rounds over all entries
-ROUNDS = 2  # over all entries, for requests that take no effect
+ROUNDS = 2  # over all entries, while none of them may have read the request
 MAX_BODY_BYTES = 64 * 1024 * 1024
 UNSENT_ERRORS = frozenset({ECONNREFUSED, EHOSTUNREACH, ENETUNREACH})
 ENTRY_REASONS = frozenset({Reason.STOPPING, Reason.NO_COORDINATOR})
+JSON_HEADERS = {"Content-Type": "application/json"}
+TEXT_HEADERS = {"Content-Type": "text/plain; charset=utf-8"}
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,7 +44,15 @@
     try_timeout: float = DEFAULT_TRY_TIMEOUT_S
 
 
-class _NoResponse(Exception):
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Rows that answer a command, and the members that did not answer."""
+
+    rows: tuple[dict[str, Any], ...]
+    incomplete: tuple[str, ...] = ()
+
+
+class _NoAnswerError(Exception):
     """One try got no answer; ``sent`` tells whether the entry may have read it."""
 
     def __init__(self, entry, cause, sent):
@@ -50,7 +61,7 @@
 
 
 class Client:
-    """Calls the system; every request may be repeated through another entry.
+    """Calls the system; a request may be repeated through another entry.
 
     A job's id is obtained before the job is sent, and every repeat uses that id, so
     a lost answer never starts a job twice.
@@ -60,132 +71,128 @@
         self._settings = settings
         self._http = AsyncHTTPClient(force_instance=True, max_body_size=MAX_BODY_BYTES)
         self._next = 0
+        self._unanswered = ""
 
     @property
-    def settings(self):
-        """The settings that this client was made with."""
-        return self._settings
+    def unanswered(self):
+        """The id of a job that was sent and has no answer yet, or nothing."""
+        return self._unanswered
 
     def close(self):
         """Releases the HTTP client."""
         self._http.close()
 
-    async def issue_id(self):
-        """Returns a fresh job id; raises UnreachableError or ProblemError."""
-        response = await self._repeat_harmless("POST", "/v1/job-ids?count=1", b"")
-        return msgspec.json.decode(response.body)["ids"][0]
-
     async def submit(self, spec: JobSpec) -> Answer:
         """Submits a job and returns its whole answer.
 
-        Raises the error that tells what is known of the job otherwise.
+        Raises the ClientError that tells what is known of the job otherwise.
         """
         give_up = time.monotonic() + self._settings.patience
         body = msgspec.json.encode(spec)
         limit_s = spec.deadline_ms / 1000 + GRACE_S
         while True:
-            job_id = await self.issue_id()
             try:
-                return await self._submit_under(job_id, body, limit_s)
+                return await self._submit_once(body, limit_s)
             except RefusedError as refusal:
                 pause = refusal.problem.retry_after
                 if pause is None or time.monotonic() + pause > give_up:
                     raise
                 await asyncio.sleep(pause)
 
-    async def cancel(self, job_id) -> Answer:
-        """Cancels a job and returns its answer, where the system still knows it."""
-        path = f"/v1/jobs/{quote(job_id, safe='')}"
-        response = await self._repeat_harmless("DELETE", path)
-        return msgspec.json.decode(response.body, type=Answer)
-
-    async def command(self, text, repeatable):
-        """Runs a command at an entry and returns its rows.
+    async def command(self, text, repeatable) -> Reply:
+        """Runs a command at an entry.
 
         A command that isn't ``repeatable`` is sent again only where the first entry
         is certain not to have read it.
         """
-        headers = {"Content-Type": "text/plain; charset=utf-8"}
-        body = text.encode()
-        if repeatable:
-            response = await self._repeat_harmless(
-                "POST", "/v1/commands", body, headers
-            )
-        else:
-            response = await self._send_once("POST", "/v1/commands", body, headers)
-        return [msgspec.json.decode(line) for line in response.body.splitlines()]
+        response = await self._deliver(
+            "/v1/commands", text.encode(), TEXT_HEADERS, repeatable
+        )
+        rows = [msgspec.json.decode(line) for line in response.body.splitlines()]
+        if rows and rows[-1].keys() == {"incomplete"}:
+            return Reply(tuple(rows[:-1]), tuple(rows[-1]["incomplete"]))
+        return Reply(tuple(rows))
+
+    async def _submit_once(self, body, limit_s):
+        """Submits under one fresh id."""
+        response = await self._deliver(
+            "/v1/job-ids?count=1", b"", JSON_HEADERS, repeatable=True
+        )
+        job_id = msgspec.json.decode(response.body)["ids"][0]
+        self._unanswered = job_id
+        answer = await self._submit_under(job_id, body, limit_s)
+        self._unanswered = ""
+        return answer
 
     async def _submit_under(self, job_id, body, limit_s):
-        """Repeats one job under one id until its answer or the limit."""
+        """Repeats a job under its id until its answer, or the limit."""
         path = f"/v1/jobs/{quote(job_id, safe='')}"
         limit = time.monotonic() + limit_s
+        rounds = 0
         doubtful = False
-        while time.monotonic() < limit:
+        while True:
+            last, refusal = "", None
             for _ in self._settings.entries:
                 try:
-                    response = await self._try("PUT", path, body)
-                except _NoResponse as error:
-                    doubtful = doubtful or error.sent
+                    return await self._put(path, body)
+                except _NoAnswerError as error:
                     last = str(error)
-                    continue
-                problem = _problem_in(response)
-                if problem is None:
-                    return msgspec.json.decode(response.body, type=Answer)
-                last = problem.summary
-                if problem.reason not in ENTRY_REASONS:
-                    raise error_from_problem(problem)
-                if not doubtful and problem.retry_after is not None:
-                    raise error_from_problem(problem)
-                self._use_next_entry()
+                    doubtful = doubtful or error.sent
+                except RefusedError as error:
+                    if error.problem.reason not in ENTRY_REASONS:
+                        raise
+                    last, refusal = str(error), error
+                    self._use_next_entry()
+            rounds += 1
+            if refusal is not None and not doubtful:
+                raise refusal
+            if not doubtful and rounds >= ROUNDS:
+                raise UnreachableError(f"{job_id}: not run: {last}")
+            if time.monotonic() >= limit:
+                raise UnknownOutcomeError(f"{job_id}: outcome unknown: {last}")
             await asyncio.sleep(ROUND_PAUSE_S)
-        if doubtful:
-            raise UnknownOutcomeError(f"{job_id}: outcome unknown: {last}")
-        raise UnreachableError(f"{job_id}: not run: {last}")
 
-    async def _repeat_harmless(self, method, path, body=None, headers=None):
-        """Sends a request that may be repeated freely until an entry answers."""
-        last = "no entry"
+    async def _put(self, path, body):
+        response = _checked(await self._try("PUT", path, body, JSON_HEADERS))
+        return msgspec.json.decode(response.body, type=Answer)
+
+    async def _deliver(self, path, body, headers, repeatable):
+        """Posts a request until an entry answers it."""
+        last = ""
         for number in range(ROUNDS):
             if number:
                 await asyncio.sleep(ROUND_PAUSE_S)
             for _ in self._settings.entries:
                 try:
-                    response = await self._try(method, path, body, headers)
-                except _NoResponse as error:
+                    return _checked(await self._try("POST", path, body, headers))
+                except _NoAnswerError as error:
                     last = str(error)
-                    continue
-                return _checked(response)
-        raise UnreachableError(f"no entry answered: {last}")
-
-    async def _send_once(self, method, path, body, headers):
-        """Sends a request on until one entry may have read it."""
-        last = "no entry"
-        for _ in self._settings.entries:
-            try:
-                return _checked(await self._try(method, path, body, headers))
-            except _NoResponse as error:
-                last = str(error)
-                if error.sent:
-                    raise UnknownOutcomeError(f"outcome unknown: {last}") from error
+                    if error.sent and not repeatable:
+                        raise UnknownOutcomeError(f"outcome unknown: {last}") from error
         raise UnreachableError(f"no entry answered: {last}")
 
-    async def _try(self, method, path, body=None, headers=None):
-        """Sends one request to the entry in use; moves on when it is silent."""
+    async def _try(self, method, path, body, headers):
+        """Sends one request to the entry in use; moves on when it has no answer."""
         entry = self._settings.entries[self._next]
         request = HTTPRequest(
             entry.rstrip("/") + path,
             method=method,
             body=body,
-            headers=headers or {"Content-Type": "application/json"},
+            headers=headers,
             connect_timeout=min(CONNECT_TIMEOUT_S, self._settings.try_timeout),
             request_timeout=self._settings.try_timeout,
             follow_redirects=False,
         )
         try:
-            return await self._http.fetch(request, raise_error=False)
+            response = await self._http.fetch(request, raise_error=False)
         except (HTTPClientError, OSError) as error:
             self._use_next_entry()
-            raise _NoResponse(entry, error, _may_be_sent(error)) from error
+            raise _NoAnswerError(entry, error, _may_be_sent(error)) from error
+        if response.code >= 500 and not Problem.from_response(response).outcome:
+            # A balancer's own words, or an entry's fault: neither tells the outcome.
+            self._use_next_entry()
+            raise _NoAnswerError(entry, f"HTTP status {response.code}", sent=True)
+        return response
 
     def _use_next_entry(self):
         self._next = (self._next + 1) % len(self._settings.entries)
@@ -197,12 +204,7 @@
     return getattr(error, "errno", None) not in UNSENT_ERRORS
 
 
-def _problem_in(response):
-    return None if response.code == 200 else Problem.from_response(response)
-
-
 def _checked(response):
-    problem = _problem_in(response)
-    if problem is not None:
-        raise error_from_problem(problem)
+    if response.code != 200:
+        raise error_from_problem(Problem.from_response(response))
     return response
--- a/packages/client/banyanwheel_client/errors.py
+++ b/packages/client/banyanwheel_client/errors.py
@@ -9,14 +9,18 @@
     "ClientError",
     "ConflictError",
     "FailedError",
+    "InterruptedJobError",
     "ProblemError",
     "RefusedError",
     "UnknownOutcomeError",
+    "UnknownProblemError",
     "UnreachableError",
     "UsageError",
     "error_from_problem",
 ]
 
+STATUSES_OF_LOST_JOBS = frozenset({404, 410})  # no job, or one no longer known
+
 
 class ClientError(BanyanwheelError):
     """Base of the client's errors."""
@@ -42,6 +46,12 @@
     status = ExitStatus.UNKNOWN
 
 
+class InterruptedJobError(ClientError):
+    """The person stopped the client while a job had no answer."""
+
+    status = ExitStatus.INTERRUPTED
+
+
 class ProblemError(ClientError):
     """An entry's ``application/problem+json`` answer, kept in ``problem``."""
 
@@ -85,6 +95,6 @@
             return FailedError(problem)
         case Outcome.UNKNOWN:
             return UnknownProblemError(problem)
-    if 400 <= problem.status < 500:
-        return RefusedError(problem)
-    return UnknownProblemError(problem)
+    if problem.status in STATUSES_OF_LOST_JOBS or problem.status >= 500:
+        return UnknownProblemError(problem)
+    return RefusedError(problem)
--- a/packages/client/banyanwheel_client/output.py
+++ b/packages/client/banyanwheel_client/output.py
@@ -3,6 +3,9 @@
 import msgspec
 from rich.console import Console
 from rich.table import Table
+from rich.text import Text
+
+from banyanwheel_core.language import LanguageError
 
 __all__ = ["Printer"]
 
@@ -10,40 +13,44 @@
 class Printer:
     """Writes to the environment's streams."""
 
-    def __init__(self, environment, as_json):
+    def __init__(self, environment, as_json=False):
         self._stdout = environment.stdout
         self._stderr = environment.stderr
+        self._terminal = environment.terminal
         self._as_json = as_json or not environment.terminal
 
-    def answer(self, answer):
+    def document(self, document):
         """Prints an answer or a problem as one line of JSON."""
-        self._line(answer)
+        print(msgspec.json.encode(document).decode(), file=self._stdout)
 
     def rows(self, rows):
-        """Prints rows, whose columns are those of all rows in order."""
+        """Prints rows; a table's columns are those of all its rows in order."""
         if self._as_json:
             for row in rows:
-                self._line(row)
+                self.document(row)
             return
         console = Console(file=self._stdout)
-        if not rows:
-            console.print("no rows")
-            return
-        console.print(_table(rows))
+        console.print(_table(rows) if rows else "no rows")
+
+    def incomplete(self, members):
+        """Warns that some members did not answer."""
+        self._warn(f"incomplete: no answer from {', '.join(members)}")
 
     def error(self, error):
-        """Prints an error as one line."""
-        print(f"banyanwheel: {error}", file=self._stderr)
+        """Prints an error as one line; a person also sees its place in a command."""
+        self._warn(" ".join(str(error).split()))
+        if self._terminal and isinstance(error, LanguageError):
+            print(error.excerpt, file=self._stderr)
 
-    def _line(self, value):
-        print(msgspec.json.encode(value).decode(), file=self._stdout)
+    def _warn(self, text):
+        print(f"banyanwheel: {text}", file=self._stderr)
 
 
 def _table(rows):
     columns = list(dict.fromkeys(name for row in rows for name in row))
     table = Table(*columns)
     for row in rows:
-        table.add_row(*(_cell(row.get(name)) for name in columns))
+        table.add_row(*(Text(_cell(row.get(name))) for name in columns))
     return table
 
 
--- a/packages/client/banyanwheel_client/status.py
+++ b/packages/client/banyanwheel_client/status.py
@@ -15,4 +15,5 @@
     UNKNOWN = 4
     UNREACHABLE = 5
     CONFLICT = 6
+    INCOMPLETE = 7
     INTERRUPTED = 130
--- a/packages/core/banyanwheel_core/language/errors.py
+++ b/packages/core/banyanwheel_core/language/errors.py
@@ -23,7 +23,7 @@
         self.line = line
         self.column = column
         self.expected = tuple(expected)
-        super().__init__([Finding(self.place, self._sentence(), SOURCE)])
+        super().__init__([Finding(self.place, self.sentence, SOURCE)])
 
     @property
     def place(self):
@@ -40,10 +40,12 @@
         caret = " " * (self.column - 1 - start) + "^"
         return f"{shown.rstrip()}\n{caret}"
 
-    def _sentence(self):
+    @property
+    def sentence(self):
+        """What is wrong and what was expected, without the place."""
         if not self.expected:
             return self.message
-        return f"{self.message}; expected {' or '.join(self.expected)}"
+        return f"{self.message}; expected one of: {', '.join(self.expected)}"
 
 
 def nearest(word, names):
--- /dev/null
+++ b/packages/daemon/banyanwheel_daemon/operations.py
@@ -0,0 +1,355 @@
+"""Executes operators' commands on an entry."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import msgspec
+from tornado.web import RequestHandler
+
+from banyanwheel_core.errors import BanyanwheelError
+from banyanwheel_core.language import (
+    CancelJob,
+    CancelJobs,
+    Drain,
+    DrainKind,
+    LanguageError,
+    Reconfigure,
+    Show,
+    Submit,
+    Table,
+    Undrain,
+    Why,
+    matches,
+    parse,
+    select,
+)
+from banyanwheel_core.models import Answer, JobSpec, JobState, Outcome, Reason
+
+__all__ = [
+    "CommandsHandler",
+    "Conflict",
+    "Desk",
+    "Inspection",
+    "NotPublished",
+    "OperationError",
+    "Operations",
+    "Published",
+    "Reply",
+    "Row",
+    "Verdict",
+]
+
+PUBLISH_ATTEMPTS = 8  # of a drain that meets conflicts
+CONFLICT_PAUSE_S = 0.05  # before the next attempt
+CONCURRENT_CANCELS = 64
+DRAIN_LISTS = {
+    DrainKind.WORKER: "workers",
+    DrainKind.RACK: "racks",
+    DrainKind.DATA_CENTRE: "data_centres",
+}
+
+Row = dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Inspection:
+    """Rows of a table, and the members that did not answer for theirs."""
+
+    rows: tuple[Row, ...]
+    silent: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """The document is the version in force at ``offset``."""
+
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """Nothing changed: the version at ``offset`` came first."""
+
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotPublished:
+    """The document was rejected, or the log did not answer for it.
+
+    ``outcome`` is NOT_RUN where the document is certain not to take effect.
+    """
+
+    outcome: Outcome
+    detail: str
+    place: str = ""
+
+
+Verdict = Published | Conflict | NotPublished
+
+
+class Desk(Protocol):
+    """What an entry does for its operators."""
+
+    async def inspect(self, table: Table) -> Inspection:
+        """Asks every agent for its rows of ``table``."""
+
+    async def why(self, job_id: str) -> list[Row]:
+        """Returns what is known of a job's waiting, refusal and placement."""
+
+    async def submit(self, spec: JobSpec) -> Answer:
+        """Submits a job under a fresh id and waits for its answer."""
+
+    async def cancel(self, job_id: str) -> Answer:
+        """Cancels a job and waits for its answer."""
+
+    def configuration(self) -> tuple[int, dict[str, Any]]:
+        """Returns the offset and the decoded document of the version in force."""
+
+    async def publish(self, document: dict[str, Any], base: int) -> Verdict:
+        """Publishes a document made from the version at the offset ``base``."""
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Rows that answer a command, and the members that did not answer."""
+
+    rows: tuple[Row, ...]
+    silent: tuple[str, ...] = ()
+
+
+class OperationError(BanyanwheelError):
+    """A command that could not be executed; ``outcome`` tells what took effect."""
+
+    def __init__(self, status, title, detail, outcome, place=""):
+        self.status = status
+        self.title = title
+        self.detail = detail
+        self.outcome = outcome
+        self.place = place
+        super().__init__(f"{title}: {detail}")
+
+
+class Operations:
+    """Executes parsed commands at a desk."""
+
+    def __init__(self, desk: Desk, conflict_pause_s=CONFLICT_PAUSE_S):
+        self._desk = desk
+        self._conflict_pause_s = conflict_pause_s
+
+    async def execute(self, command) -> Reply:
+        """Executes a command.
+
+        Raises OperationError where it failed, LanguageError where a filter does not
+        fit the rows.
+        """
+        match command:
+            case Show():
+                return await self._show(command)
+            case Why(job_id):
+                return Reply(tuple(await self._desk.why(job_id)))
+            case Submit(spec):
+                answer = await self._desk.submit(spec)
+                return Reply((msgspec.to_builtins(answer),))
+            case CancelJob(job_id):
+                return Reply((await self._cancel(job_id),))
+            case CancelJobs(where):
+                return await self._cancel_jobs(where)
+            case Drain(kind, name):
+                return await self._change_drain(kind, name, drained=True)
+            case Undrain(kind, name):
+                return await self._change_drain(kind, name, drained=False)
+            case Reconfigure(document, base):
+                return await self._reconfigure(document, base)
+        raise TypeError(f"not a command: {command!r}")
+
+    async def _show(self, show):
+        if show.table is Table.CONFIGURATION:
+            inspection = Inspection(_configuration_rows(*self._desk.configuration()))
+        else:
+            inspection = await self._desk.inspect(show.table)
+        return Reply(tuple(select(show, inspection.rows)), inspection.silent)
+
+    async def _cancel_jobs(self, where):
+        inspection = await self._desk.inspect(Table.JOBS)
+        job_ids = [row["id"] for row in inspection.rows if matches(where, row)]
+        turns = asyncio.Semaphore(CONCURRENT_CANCELS)
+
+        async def cancel(job_id):
+            async with turns:
+                return await self._cancel(job_id)
+
+        rows = await asyncio.gather(*map(cancel, dict.fromkeys(job_ids)))
+        return Reply(tuple(rows), inspection.silent)
+
+    async def _cancel(self, job_id):
+        try:
+            answer = await self._desk.cancel(job_id)
+        except BanyanwheelError as error:
+            return {"job": job_id, "result": "outcome unknown", "detail": str(error)}
+        row = {"job": job_id, "result": _result_text(answer)}
+        if answer.reason is not None:
+            row["reason"] = str(answer.reason)
+        if answer.detail:
+            row["detail"] = answer.detail
+        return row
+
+    async def _change_drain(self, kind, name, drained):
+        for _ in range(PUBLISH_ATTEMPTS):
+            base, document = self._desk.configuration()
+            changed = _with_drain(document, kind, name, drained)
+            if changed is None:
+                return Reply((_drain_row(kind, name, drained, base, changed=False),))
+            verdict = await self._desk.publish(changed, base)
+            match verdict:
+                case Published(offset):
+                    row = _drain_row(kind, name, drained, offset, changed=True)
+                    return Reply((row,))
+                case Conflict():
+                    await asyncio.sleep(self._conflict_pause_s)
+                case NotPublished():
+                    raise _not_published(verdict)
+        raise _conflict(verdict.offset, base)
+
+    async def _reconfigure(self, document, base):
+        if base is None:
+            base, _ = self._desk.configuration()
+        verdict = await self._desk.publish(document, base)
+        match verdict:
+            case Published(offset):
+                return Reply(({"result": "in force", "offset": offset, "from": base},))
+            case Conflict(offset):
+                raise _conflict(offset, base)
+        raise _not_published(verdict)
+
+
+class CommandsHandler(RequestHandler):
+    """Serves ``POST /v1/commands``: a command as text, its rows as JSON lines.
+
+    Where members did not answer, the last line is ``{"incomplete": [names]}``.
+    """
+
+    def initialize(self, operations):
+        """Takes the :class:`Operations` to execute with."""
+        self._operations = operations
+
+    async def post(self):
+        """Executes the command in the body."""
+        try:
+            reply = await self._operations.execute(parse(self._text()))
+        except LanguageError as error:
+            detail = f"{error.sentence}\n{error.excerpt}"
+            self._refuse(
+                OperationError(
+                    400, "malformed command", detail, Outcome.NOT_RUN, error.place
+                ),
+                Reason.MALFORMED,
+            )
+        except OperationError as error:
+            self._refuse(error)
+        except BanyanwheelError as error:
+            self._refuse(
+                OperationError(503, "not executed", str(error), Outcome.UNKNOWN)
+            )
+        else:
+            self._write_rows(reply)
+
+    def write_error(self, status_code, **kwargs):
+        """Answers an unforeseen fault as a problem document."""
+        detail = "the entry failed to execute the command"
+        self._refuse(OperationError(status_code, self._reason, detail, Outcome.UNKNOWN))
+
+    def _text(self):
+        content_type = self.request.headers.get("Content-Type", "")
+        if content_type.partition(";")[0].strip().lower() != "text/plain":
+            detail = "a command is sent as text/plain"
+            raise OperationError(415, "wrong content type", detail, Outcome.NOT_RUN)
+        try:
+            return self.request.body.decode()
+        except UnicodeDecodeError as error:
+            detail = f"not UTF-8 at byte {error.start}"
+            raise OperationError(
+                400, "malformed command", detail, Outcome.NOT_RUN
+            ) from error
+
+    def _write_rows(self, reply):
+        lines = list(reply.rows)
+        if reply.silent:
+            lines.append({"incomplete": reply.silent})
+        self.set_header("Content-Type", "application/x-ndjson")
+        self.finish(b"".join(msgspec.json.encode(line) + b"\n" for line in lines))
+
+    def _refuse(self, error, reason=None):
+        problem = {
+            "type": "about:blank",
+            "title": error.title,
+            "status": error.status,
+            "detail": error.detail,
+            "outcome": error.outcome,
+        }
+        if reason is not None:
+            problem["reason"] = reason
+        if error.place:
+            problem["place"] = error.place
+        self.set_status(error.status)
+        self.set_header("Content-Type", "application/problem+json")
+        self.finish(msgspec.json.encode(problem))
+
+
+def _result_text(answer):
+    if answer.state is JobState.COMPLETE:
+        return "complete"
+    if answer.state is not JobState.FAILED:
+        return str(answer.state)
+    match answer.outcome:
+        case Outcome.NOT_RUN if answer.reason is Reason.CANCELLED:
+            return "cancelled, not run"
+        case Outcome.NOT_RUN:
+            return "failed, not run"
+        case Outcome.RAN:
+            return "failed, ran"
+    return "failed, outcome unknown"
+
+
+def _with_drain(document, kind, name, drained):
+    """Returns the changed document, or None where there is nothing to change."""
+    drains = document.get("drains", {})
+    names = set(drains.get(DRAIN_LISTS[kind], ()))
+    if (name in names) == drained:
+        return None
+    names ^= {name}
+    return {**document, "drains": {**drains, DRAIN_LISTS[kind]: sorted(names)}}
+
+
+def _drain_row(kind, name, drained, offset, changed):
+    state = "drained" if drained else "not drained"
+    result = state if changed else f"already {state}"
+    return {"kind": str(kind), "name": name, "result": result, "offset": offset}
+
+
+def _configuration_rows(offset, document):
+    return tuple(
+        {"offset": offset, "path": path, "value": msgspec.json.encode(value).decode()}
+        for path, value in _leaves(document, "")
+    )
+
+
+def _leaves(value, path):
+    if not isinstance(value, dict) or not value:
+        yield path, value
+        return
+    for name, part in value.items():
+        yield from _leaves(part, f"{path}.{name}" if path else name)
+
+
+def _conflict(winner, base):
+    detail = f"made from offset {base}, but the version at offset {winner} came first"
+    return OperationError(409, "configuration conflict", detail, Outcome.NOT_RUN)
+
+
+def _not_published(verdict):
+    status = 400 if verdict.place else 503
+    return OperationError(
+        status, "not published", verdict.detail, verdict.outcome, verdict.place
+    )
