--- a/tests/standins/backend_server.py
+++ b/tests/standins/backend_server.py
@@ -138,11 +138,11 @@
         )
         return True
 
-    async def run(self, key, run_ms, lease_ms):
+    async def run(self, key, token, run_ms, lease_ms):
         """Runs a task; returns the reason if it was stopped, else an empty text."""
         run = _Run(*key)
         self._runs.append(run)
-        self._record(TaskStarted, run)
+        self._record(TaskStarted, run, token=token)
         run.renew(lease_ms)
         seconds = run_ms / 1_000 * self._speed_factor * self.faults.slow_factor
         try:
@@ -204,7 +204,8 @@
         failing = self._server.faults.fail_all or asked.get("fail", False)
         run_ms = 0 if self._server.faults.fail_all else asked.get("run_ms")
         run_ms = DEFAULT_RUN_MS if run_ms is None else run_ms
-        stopped = await self._server.run(key, run_ms, lease_ms)
+        token = str(asked.get("token", ""))
+        stopped = await self._server.run(key, token, run_ms, lease_ms)
         if self._server.faults.never_answer:
             await asyncio.Event().wait()
         if self._server.take_close():
--- a/tests/standins/history.py
+++ b/tests/standins/history.py
@@ -18,6 +18,8 @@
     "History",
     "LeaveAnnounced",
     "ProcessEnded",
+    "ProcessPaused",
+    "ProcessResumed",
     "ProcessStarted",
     "StopRequested",
     "TaskFinished",
@@ -38,7 +40,8 @@
     """A caller sent a submission; ``request`` is unique for each sending.
 
     ``job_id`` is empty in the short form, where the system chooses it. ``payloads``
-    holds the JSON payload of each task.
+    holds the JSON payload of each task; a member ``token`` in it marks the task
+    whatever id it runs under.
     """
 
     request: str
@@ -60,10 +63,11 @@
 
 
 class TaskStarted(_Event, frozen=True, tag=True):
-    """A backend server started a task."""
+    """A backend server started a task; ``token`` is that of the task's payload."""
 
     job_id: str
     index: int
+    token: str = ""
 
 
 class TaskFinished(_Event, frozen=True, tag=True):
@@ -103,7 +107,15 @@
 
 
 class ProcessEnded(_Event, frozen=True, tag=True):
-    """A process of the system ended, was killed, or was frozen."""
+    """A process of the system ended or was killed."""
+
+
+class ProcessPaused(_Event, frozen=True, tag=True):
+    """A process of the system was frozen."""
+
+
+class ProcessResumed(_Event, frozen=True, tag=True):
+    """A frozen process of the system goes on."""
 
 
 class StopRequested(_Event, frozen=True, tag=True):
@@ -121,6 +133,8 @@
     | ConfigurationInForce
     | ProcessStarted
     | ProcessEnded
+    | ProcessPaused
+    | ProcessResumed
     | StopRequested
 )
 
--- a/tests/standins/process.py
+++ b/tests/standins/process.py
@@ -7,9 +7,8 @@
 import sys
 from pathlib import Path
 
-__all__ = ["READY_TIMEOUT_S", "STOP_TIMEOUT_S", "Process", "start_stand_in"]
+__all__ = ["STOP_TIMEOUT_S", "Process", "StandIns"]
 
-READY_TIMEOUT_S = 60
 STOP_TIMEOUT_S = 60
 ROOT = Path(__file__).resolve().parents[2]
 PACKAGES = [ROOT / "packages" / name for name in ("core", "daemon", "client")]
@@ -96,10 +95,26 @@
     return {**os.environ, "PYTHONPATH": path}
 
 
-def start_stand_in(module, errors, **options):
-    """Starts ``tests.standins.<module>`` and waits until it listens."""
-    arguments = ["-m", f"tests.standins.{module}"]
-    for option, value in options.items():
-        arguments += [f"--{option.replace('_', '-')}", str(value)]
-    name = options.get("name", module)
-    return Process(name, arguments, errors).wait_ready()
+class StandIns:
+    """Starts stand-ins, and ends them all when its context ends."""
+
+    def __init__(self, directory):
+        self._directory = Path(directory)
+        self._processes = []
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *error):
+        for process in self._processes:
+            process.close()
+
+    def start(self, module, **options):
+        """Starts ``tests.standins.<module>`` and waits until it listens."""
+        arguments = ["-m", f"tests.standins.{module}"]
+        for option, value in options.items():
+            arguments += [f"--{option.replace('_', '-')}", str(value)]
+        name = options.get("name", module)
+        process = Process(name, arguments, self._directory / f"{name}.err")
+        self._processes.append(process)
+        return process.wait_ready()
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -1,13 +1,11 @@
 """The stand-ins as processes, over HTTP."""
 
-import json
 import threading
-import urllib.error
-import urllib.request
 from http.client import RemoteDisconnected
 
 import pytest
 
+from tests.standins.calls import TIMEOUT_S, call, in_thread
 from tests.standins.history import (
     LeaveAnnounced,
     TaskFinished,
@@ -15,39 +13,13 @@
     TaskStopped,
     read_history,
 )
-from tests.standins.process import start_stand_in
-
-TIMEOUT_S = 60
+from tests.standins.process import StandIns
 
 
 @pytest.fixture
 def start(tmp_path):
-    processes = []
-
-    def start_one(module, **options):
-        process = start_stand_in(module, tmp_path / f"{module}.err", **options)
-        processes.append(process)
-        return process
-
-    yield start_one
-    for process in processes:
-        process.close()
-
-
-def call(method, address, path, body=None, **headers):
-    request = urllib.request.Request(
-        f"http://{address}{path}",
-        method=method,
-        data=None if body is None else json.dumps(body).encode(),
-        headers={name.replace("_", "-"): value for name, value in headers.items()},
-    )
-    try:
-        with urllib.request.urlopen(request, timeout=TIMEOUT_S) as response:
-            text = response.read()
-            return response.status, json.loads(text) if text else None
-    except urllib.error.HTTPError as error:
-        text = error.read()
-        return error.code, json.loads(text) if text else None
+    with StandIns(tmp_path) as stand_ins:
+        yield stand_ins.start
 
 
 def run_task(address, payload, index=0, lease_ms=60_000, job="job"):
@@ -66,18 +38,6 @@
     raise AssertionError(f"no {count} events of {kind.__name__}")
 
 
-def in_thread(function, *arguments):
-    answers = []
-    thread = threading.Thread(target=lambda: answers.append(function(*arguments)))
-    thread.start()
-
-    def result():
-        thread.join(TIMEOUT_S)
-        return answers[0]
-
-    return result
-
-
 def test_log_counts_offsets_per_stream(start):
     log = start("log_service").ready["address"]
     offsets = [call("POST", log, f"/streams/{n}/records", [n])[1] for n in "aab"]
