Announce at most once per pause, and say nothing of ids not yet submitted

Cause: a changed record was appended at every tick while the log was down, and a question about a fresh id was answered 'not run' although it may still run.

--- a/packages/core/banyanwheel_core/coordinator.py
+++ b/packages/core/banyanwheel_core/coordinator.py
@@ -285,7 +285,8 @@
             return [Send(sender, JobAnswer(kept.answer))]
         answer = self._answer_without_job(job_id, now)
         if answer is None:
-            answer = refused(job_id, Reason.UNKNOWN_ID, "nothing was submitted yet")
+            detail = "nothing has been submitted under this id yet"
+            answer = failed(job_id, Reason.UNKNOWN_ID, detail, outcome=None)
         return self._tell(sender, answer)
 
     def _cancel(self, sender, job_id, now):
--- a/packages/daemon/banyanwheel_daemon/agent.py
+++ b/packages/daemon/banyanwheel_daemon/agent.py
@@ -96,9 +96,13 @@
     def on_tick(self, now):
         """Announces this agent when that is due."""
         self._placement.loaded(self._identity.name, self._executor.load)
+        if self._announcing:
+            return
         record = self._record()
         if record != self._announced or self._schedule.due(now):
-            self._announce(record, now)
+            self._announced = record
+            self._announcing = True
+            self.spawn(self._append_record(record))
 
     def on_lost(self, name, now):
         """Leaves a peer that does not answer out for a while."""
@@ -154,15 +158,6 @@
         now = time.monotonic()
         self._members.apply(record, -1, 0, now)
 
-    def _announce(self, record, now):
-        waits = self._announced is not None and not self._schedule.due(now)
-        if self._announcing or (waits and record == self._announced):
-            return
-        if self._announced is None and not self._schedule.due(now):
-            return
-        self._announcing = True
-        self.spawn(self._append_record(record))
-
     async def _append_record(self, record):
         stream = self._settings.log_service.members_stream
         try:
@@ -173,7 +168,6 @@
             return False
         finally:
             self._announcing = False
-        self._announced = record
         self._schedule.succeeded(time.monotonic())
         return True
 
--- a/tests/core/test_coordinator.py
+++ b/tests/core/test_coordinator.py
@@ -1,4 +1,4 @@
-from banyanwheel_core.messages import CancelJob, StartTasks
+from banyanwheel_core.messages import CancelJob, QueryJob, StartTasks
 from banyanwheel_core.models import JobState, Outcome, Reason, TaskOutcome
 from tests.core.drive import ENTRY, World, spec
 
@@ -157,3 +157,11 @@
         Outcome.NOT_RUN,
         Reason.DEADLINE_PASSED,
     )
+
+
+def test_asking_for_an_id_that_may_still_be_submitted_does_not_say_not_run():
+    world = World()
+    job_id = world.job_id()
+    world.deliver((ENTRY, world.me, QueryJob(job_id)))
+    world.deliver_all()
+    assert world.answers[0].outcome is None
