--- a/packages/core/banyanwheel_core/coordinator.py
+++ b/packages/core/banyanwheel_core/coordinator.py
@@ -3,17 +3,16 @@
 Times are seconds of a monotonic clock.
 """
 
-from collections import defaultdict
 from dataclasses import dataclass
 
-import msgspec
-
+from .answers import AnswerStore
 from .blocks import BlockTable, IdStatus
 from .budget import RetryBudget
+from .dispatcher import Dispatcher, fits
 from .effects import Count, Peer, Send
 from .errors import InvalidIdError
 from .ids import JobId
-from .jobs import Inheritance, Job, Kept, failed, refused
+from .jobs import Job, failed, refused
 from .messages import (
     BlockRequest,
     CancelJob,
@@ -24,10 +23,8 @@
     JobAccepted,
     JobAnswer,
     QueryJob,
-    QueryTasks,
     ReservationQueued,
     ReservationRefused,
-    Reserve,
     StartRefused,
     StartTasks,
     SubmitJob,
@@ -35,14 +32,12 @@
     TaskStart,
 )
 from .models import JobState, Reason, TaskOutcome
-from .placement import Candidate
 from .policy import Policy
-from .reservations import FlowQueue, Reservation
+from .sent import SentTasks
 from .timers import Timers
 
 __all__ = ["Coordinator", "CoordinatorLimits"]
 
-HANDOVER_PART = 500  # answers in one message
 QUEUE_RETRY_MS = 1_000
 
 
@@ -74,12 +69,10 @@
         self._blocks = BlockTable(self._limits.block_lifetime, self._limits.max_blocks)
         self._budget = RetryBudget()
         self._jobs = {}
-        self._kept = {}
-        self._kept_bytes = 0
-        self._handed = {}
-        self._flows = {}
-        self._sent = defaultdict(dict)
+        self._sent = SentTasks()
         self._timers = Timers()
+        self._answers = AnswerStore(self._limits.retention, self._timers)
+        self._dispatcher = Dispatcher(members, placement, self._limits, self._timers)
         self._stopping = False
 
     @classmethod
@@ -111,9 +104,7 @@
     @property
     def awaited(self):
         """Names of executors from which something is awaited."""
-        names = {peer.name for peer, grants in self._sent.items() if grants}
-        for queue in self._flows.values():
-            names.update(n for n, r in queue.reservations.items() if r.open)
+        names = self._sent.names | self._dispatcher.awaited
         return names - {self._identity.name}
 
     def configure(self, policy):
@@ -134,9 +125,9 @@
             case TaskResults(results=results):
                 return self._results(sender, results, now)
             case ReservationQueued():
-                return self._queued(sender, message, now)
+                return self._dispatcher.queued(sender, message, now)
             case ReservationRefused():
-                return self._reservation_refused(sender, message, now)
+                return self._dispatcher.refused(sender, message, now)
             case StartRefused():
                 return self._start_refused(sender, message, now)
             case BlockRequest(size=size):
@@ -158,13 +149,13 @@
                 case ("job", job_id):
                     effects += self._deadline(job_id, now)
                 case ("kept", job_id):
-                    self._kept_bytes -= self._kept.pop(job_id).size
+                    self._answers.forget(job_id)
                 case ("handed", peer):
-                    del self._handed[peer]
+                    self._answers.disinherit(peer)
                 case ("place", flow):
-                    effects += self._place(flow, now)
+                    effects += self._dispatcher.place(flow, now)
                 case ("refresh", flow):
-                    effects += self._refresh(flow, now)
+                    effects += self._dispatcher.refresh(flow, now)
                 case ("lost", peer):
                     effects += self._give_up(peer, Reason.WORKER_LOST, now)
         return effects
@@ -185,16 +176,16 @@
         self._timers.set(("job", job_id), job.deadline_at)
         if job.spec.idempotent:
             self._budget.earn()
-        queue = self._queue(job.spec.flow)
+        queue = self._dispatcher.queue(job.spec.flow)
         for index in range(len(job.tasks)):
             queue.add(job.spec.needs, (job_id, index))
-        return self._place(job.spec.flow, now)
+        return self._dispatcher.place(job.spec.flow, now)
 
     def _known_answer(self, sender, message, now):
         """Answers a repeat, or an id on which nothing can be run; else None."""
         job_id, fingerprint = message.job_id, message.fingerprint
         job = self._jobs.get(job_id)
-        kept = self._find_kept(job_id)
+        kept = self._answers.find(job_id)
         if (job or kept) and (job or kept).fingerprint != fingerprint:
             detail = "the id belongs to another submission; this one was not run"
             answer = failed(job_id, Reason.ID_CONFLICT, detail, outcome=None)
@@ -227,8 +218,7 @@
         return refused(job_id, Reason.UNKNOWN_ID, "this id was never issued")
 
     def _answer_for_other(self, job_id, parsed):
-        handed = self._handed.get(parsed.coordinator)
-        if handed is not None and handed.never_submitted(parsed):
+        if self._answers.never_submitted(parsed):
             detail = "the coordinator left and had not accepted the job; take a new id"
             return refused(job_id, Reason.STOPPING, detail, 1)
         detail = "the job's coordinator is gone"
@@ -239,8 +229,8 @@
         spec = message.spec
         if self._stopping:
             return Reason.STOPPING, "the coordinator is stopping", 1
-        if len(self._jobs) + len(self._kept) >= self._limits.max_jobs or (
-            self._kept_bytes >= self._limits.max_answer_bytes
+        if len(self._jobs) + len(self._answers) >= self._limits.max_jobs or (
+            self._answers.size >= self._limits.max_answer_bytes
         ):
             return Reason.TABLE_FULL, "no room for another job", QUEUE_RETRY_MS
         return self._admit_service(spec) or self._admit_queue(spec, message)
@@ -250,15 +240,15 @@
         if not members:
             detail = f"no backend server offers {spec.service!r}"
             return Reason.UNKNOWN_SERVICE, detail, 0
-        if not any(_fits(member, spec.needs) for member in members):
+        if not any(fits(member, spec.needs) for member in members):
             detail = "no worker has the memory or accelerators that the tasks need"
             return Reason.NEVER_RUNNABLE, detail, 0
-        if not self._executors(spec.service):
+        if not self._dispatcher.executors(spec.service):
             return Reason.NO_WORKER, "every worker is leaving", QUEUE_RETRY_MS
         return None
 
     def _admit_queue(self, spec, message):
-        queue = self._queue(spec.flow)
+        queue = self._dispatcher.queue(spec.flow)
         wait_ms = int(queue.expected_wait() * 1_000)
         if queue.waiting >= self._policy.flow(spec.flow).max_queue:
             detail = f"{queue.waiting} tasks of this kind wait here already"
@@ -280,7 +270,7 @@
         job = self._jobs.get(job_id)
         if job is not None:
             return [Send(sender, JobAccepted(job_id))]
-        kept = self._find_kept(job_id)
+        kept = self._answers.find(job_id)
         if kept is not None:
             return [Send(sender, JobAnswer(kept.answer))]
         answer = self._answer_without_job(job_id, now)
@@ -305,141 +295,27 @@
             return []
         return self._fail(job, Reason.CANCELLED, "cancelled", now)
 
-    # Placement.
-
-    def _queue(self, flow):
-        if flow not in self._flows:
-            self._flows[flow] = FlowQueue(flow)
-        return self._flows[flow]
-
-    def _place(self, flow, now):
-        """Asks executors for as many slots as tasks wait without one."""
-        queue = self._queue(flow)
-        asked = defaultdict(int)
-        for needs in queue.needs:
-            candidates = self._candidates(queue, needs, now)
-            names = {candidate.name for candidate in candidates}
-            reservations = queue.reservations.items()
-            within = sum(r.open for n, r in reservations if n in names)
-            want = queue.waiting_with(needs) - within
-            want = min(want, queue.waiting - queue.open)
-            self._spread(queue, candidates, want, asked, now)
-        if queue.waiting > queue.open:
-            self._timers.set(("place", flow), now + self._placement_pause(queue, now))
-        effects = [self._reserve(queue, name, now) for name in asked]
-        return effects + self._return_surplus(queue, now)
-
-    def _placement_pause(self, queue, now):
-        """Seconds until an executor that was left out may be asked again."""
-        times = [r.refused_until - now for r in queue.reservations.values()]
-        return min([time for time in times if time > 0], default=0.1)
-
-    def _candidates(self, queue, needs, now):
-        return [
-            Candidate(member.name, member.data_centre, member.slots)
-            for member in self._executors(queue.flow.service)
-            if _fits(member, needs)
-            and self._members.usable(member.name, now)
-            and self._reservation(queue, member).refused_until <= now
-        ]
-
-    def _executors(self, service):
-        """The partners that offer a service and have slots at present."""
-        partners = self._members.partners(service, self._limits.partners)
-        return [member for member in partners if member.slots]
-
-    def _reservation(self, queue, member):
-        known = queue.reservations.get(member.name)
-        if known is None or known.incarnation != member.incarnation:
-            known = queue.reservations[member.name] = Reservation(member.incarnation)
-        return known
-
-    def _spread(self, queue, candidates, want, asked, now):
-        while want > 0:
-            chosen = self._placement.choose(queue.flow, candidates, now)
-            if chosen is None:
-                return
-            share = self._placement.share(chosen.name, want, len(candidates))
-            queue.reservations[chosen.name].upto += share
-            asked[chosen.name] += share
-            self._placement.asked(chosen.name, share)
-            want -= share
-
-    def _reserve(self, queue, name, now):
-        reservation = queue.reservations[name]
-        reservation.sequence += 1
-        self._timers.set(
-            ("refresh", queue.flow), now + self._limits.reservation_refresh
-        )
-        message = Reserve(
-            queue.flow,
-            reservation.sequence,
-            reservation.granted,
-            reservation.upto,
-            self._declared_ms(queue.flow),
-        )
-        return Send(Peer(name, reservation.incarnation), message)
-
-    def _declared_ms(self, flow):
-        return int(self._placement.fleet_run_ms(flow))
-
-    def _refresh(self, flow, now):
-        """Repeats the reservations that still wait, so that they do not expire."""
-        queue = self._queue(flow)
-        return [
-            self._reserve(queue, name, now)
-            for name, reservation in queue.reservations.items()
-            if reservation.open
-        ]
-
-    def _return_surplus(self, queue, now):
-        """Gives back slots asked for that no waiting task needs any more."""
-        effects = []
-        surplus = queue.open - queue.waiting
-        for name, reservation in queue.reservations.items():
-            if surplus <= 0:
-                break
-            returned = min(surplus, reservation.open)
-            if returned:
-                surplus -= returned
-                self._lower(reservation, name, returned)
-                effects.append(self._reserve(queue, name, now))
-        return effects
-
-    def _lower(self, reservation, name, slots):
-        reservation.upto -= slots
-        self._placement.asked(name, -slots)
-
     def _granted(self, sender, message, now):
-        queue = self._queue(message.flow)
-        reservation = queue.reservations.get(sender.name)
-        if reservation is None or reservation.incarnation != sender.incarnation:
+        if not self._dispatcher.granted(sender, message):
             return [Send(sender, StartTasks(message.grant, ()))]
-        self._catch_up(reservation, sender.name, message.granted)
+        queue = self._dispatcher.queue(message.flow)
         member = self._members.find(sender.name)
         starts = self._pick(queue, member, message.slots, now)
         keys = {(start.job_id, start.index) for start in starts}
         effects = [Send(sender, StartTasks(message.grant, tuple(starts)))]
         if keys:
-            self._sent[sender][message.grant] = keys
+            self._sent.add(sender, message.grant, keys)
             self._mark_sent(keys, sender, message.grant)
             queue.started(len(keys), now)
             self._placement.started(sender.name, len(keys))
         else:
             effects.append(Count("grants_unused", Reason.GRANT_LAPSED))
-        return effects + self._place(message.flow, now)
-
-    def _catch_up(self, reservation, name, granted):
-        """Takes in the executor's own count of the slots it has granted."""
-        before = reservation.open
-        reservation.granted = max(reservation.granted, granted)
-        reservation.upto = max(reservation.upto, reservation.granted)
-        self._placement.asked(name, reservation.open - before)
+        return effects + self._dispatcher.place(message.flow, now)
 
     def _pick(self, queue, member, slots, now):
         starts = []
         while len(starts) < slots and member is not None:
-            key = queue.pop(lambda needs: _fits(member, needs), self._is_waiting)
+            key = queue.pop(lambda needs: fits(member, needs), self._is_waiting)
             if key is None:
                 break
             job, index = self._jobs[key[0]], key[1]
@@ -467,52 +343,10 @@
             task.worker = executor.name
             job.step("start")
 
-    def _queued(self, sender, message, now):
-        queue = self._queue(message.flow)
-        reservation = queue.reservations.get(sender.name)
-        if reservation is None or reservation.incarnation != sender.incarnation:
-            return []
-        self._catch_up(reservation, sender.name, message.granted)
-        if message.wait_ms > self._limits.move_wait_ms:
-            return self._move(queue, sender.name, now) + self._place(queue.flow, now)
-        return self._place(queue.flow, now)
-
-    def _move(self, queue, name, now):
-        """Moves a reservation that must wait to executors with free slots."""
-        reservation = queue.reservations[name]
-        free = [
-            candidate
-            for needs in queue.needs[-1:]
-            for candidate in self._candidates(queue, needs, now)
-            if candidate.name != name and self._placement.has_free(candidate.name)
-        ]
-        target = self._placement.choose(queue.flow, free, now)
-        if target is None or not reservation.open:
-            return []
-        moved = min(reservation.open, self._placement.free(target.name))
-        self._lower(reservation, name, moved)
-        queue.reservations[target.name].upto += moved
-        self._placement.asked(target.name, moved)
-        return [
-            self._reserve(queue, name, now),
-            self._reserve(queue, target.name, now),
-        ]
-
-    def _reservation_refused(self, sender, message, now):
-        queue = self._queue(message.flow)
-        reservation = queue.reservations.get(sender.name)
-        if reservation is None or reservation.incarnation != sender.incarnation:
-            return []
-        self._catch_up(reservation, sender.name, message.granted)
-        self._lower(reservation, sender.name, reservation.open)
-        reservation.refused_until = now + message.retry_after_ms / 1_000
-        count = Count("placements_moved", message.reason)
-        return [count, *self._place(queue.flow, now)]
-
     # Results.
 
     def _start_refused(self, sender, message, now):
-        keys = self._sent[sender].pop(message.grant, set())
+        keys = self._sent.pop_grant(sender, message.grant)
         effects = [Count("retries", message.reason)] if keys else []
         flows = set()
         for key in sorted(keys, reverse=True):
@@ -522,7 +356,7 @@
             if job is not None and job.cancelled:
                 effects += self._settle_cancelled(job, now)
         for flow in flows:
-            effects += self._place(flow, now)
+            effects += self._dispatcher.place(flow, now)
         return effects
 
     def _requeue(self, key):
@@ -536,7 +370,7 @@
         if job.cancelled:
             task.step("drop")
             return set()
-        self._queue(job.spec.flow).add(job.spec.needs, key, first=True)
+        self._dispatcher.queue(job.spec.flow).add(job.spec.needs, key, first=True)
         return {job.spec.flow}
 
     def _results(self, sender, results, now):
@@ -552,21 +386,13 @@
         task = job.tasks[result.index]
         if task.sent is None or task.sent[0] != sender:
             return []
-        self._forget_sent(task.sent, (result.job_id, result.index))
+        self._sent.remove(task.sent, (result.job_id, result.index))
         if result.outcome is TaskOutcome.NOT_STARTED:
             return self._not_started(sender, job, result, now)
         if result.outcome is TaskOutcome.DONE:
             return self._done(sender, job, task, result, now)
         return self._task_failed(sender, job, task, result, now)
 
-    def _forget_sent(self, sent, key):
-        executor, grant = sent
-        keys = self._sent[executor].get(grant)
-        if keys is not None:
-            keys.discard(key)
-            if not keys:
-                del self._sent[executor][grant]
-
     def _not_started(self, sender, job, result, now):
         reason = result.reason or Reason.CONNECT_FAILED
         if reason is Reason.CONNECT_FAILED:
@@ -576,7 +402,7 @@
             return self._settle_cancelled(job, now)
         effects = [Count("retries", reason)]
         for flow in flows:
-            effects += self._place(flow, now)
+            effects += self._dispatcher.place(flow, now)
         return effects
 
     def _done(self, sender, job, task, result, now):
@@ -614,9 +440,9 @@
         task = job.tasks[index]
         task.earlier += (task.state,)
         task.step("retry")
-        queue = self._queue(job.spec.flow)
+        queue = self._dispatcher.queue(job.spec.flow)
         queue.add(job.spec.needs, (job.id, index), first=True)
-        return [Count("retries", reason), *self._place(job.spec.flow, now)]
+        return [Count("retries", reason), *self._dispatcher.place(job.spec.flow, now)]
 
     def _deadline(self, job_id, now):
         job = self._jobs[job_id]
@@ -628,12 +454,12 @@
         answer = job.fail(reason, detail)
         for index, task in enumerate(job.tasks):
             if task.sent is not None:
-                self._forget_sent(task.sent, (job.id, index))
+                self._sent.remove(task.sent, (job.id, index))
         effects += [Count("failures", reason)]
         return effects + self._answer(job, answer, now)
 
     def _drop_waiting(self, job):
-        queue = self._queue(job.spec.flow)
+        queue = self._dispatcher.queue(job.spec.flow)
         for task in job.tasks:
             if task.state == "waiting":
                 task.step("drop")
@@ -650,82 +476,42 @@
     def _answer(self, job, answer, now):
         del self._jobs[job.id]
         self._timers.cancel(("job", job.id))
-        self._keep(job, answer, now)
+        self._answers.keep(job, answer, now)
         waiters = sorted(job.waiters, key=lambda peer: peer.name)
         return [Send(waiter, JobAnswer(answer)) for waiter in waiters]
 
-    def _keep(self, job, answer, now):
-        size = len(msgspec.msgpack.encode(answer))
-        self._kept[job.id] = Kept(job.fingerprint, answer, size)
-        self._kept_bytes += size
-        self._timers.set(("kept", job.id), now + self._limits.retention)
-
-    def _find_kept(self, job_id):
-        kept = self._kept.get(job_id)
-        if kept is not None:
-            return kept
-        for handed in self._handed.values():
-            if job_id in handed.answers:
-                return handed.answers[job_id]
-        return None
-
     # Peers that fall silent, come back, are replaced or are lost.
 
     def peer_silent(self, name, now):
         """A new connection has replaced a silent one: ask what became of things."""
-        effects = [Count("retries", Reason.PEER_SILENT)]
-        for peer, grants in self._sent.items():
-            if peer.name != name:
-                continue
-            for grant, keys in grants.items():
-                effects.append(Send(peer, QueryTasks(grant, tuple(sorted(keys)))))
-        for queue in self._flows.values():
-            reservation = queue.reservations.get(name)
-            if reservation is not None and reservation.open:
-                effects.append(self._reserve(queue, name, now))
-        return effects
+        count = Count("retries", Reason.PEER_SILENT)
+        repeated = self._dispatcher.repeat(name, now)
+        return [count, *self._sent.questions(name), *repeated]
 
     def peer_lost(self, name, now):
         """A peer answers no connection: place its reservations elsewhere."""
-        for peer, grants in self._sent.items():
-            if peer.name == name and grants:
-                at = now + self._limits.lost_worker_patience
-                self._timers.set(("lost", peer), at)
-        return self._drop_reservations(name, now)
+        for peer in self._sent.incarnations(name):
+            at = now + self._limits.lost_worker_patience
+            self._timers.set(("lost", peer), at)
+        return self._dispatcher.withdraw(name, now)
 
     def peer_heard(self, name):
         """A peer that was lost answers again."""
-        for peer in self._sent:
-            if peer.name == name:
-                self._timers.cancel(("lost", peer))
+        for peer in self._sent.incarnations(name):
+            self._timers.cancel(("lost", peer))
 
     def peer_replaced(self, name, incarnation, now):
         """Another incarnation runs under this name: the earlier one is gone."""
         effects = []
-        for peer in [peer for peer in self._sent if peer.name == name]:
+        for peer in self._sent.incarnations(name):
             if peer.incarnation != incarnation:
                 effects += self._give_up(peer, Reason.WORKER_LOST, now)
-        stale = any(
-            queue.reservations[name].incarnation != incarnation
-            for queue in self._flows.values()
-            if name in queue.reservations
-        )
-        return effects + (self._drop_reservations(name, now) if stale else [])
-
-    def _drop_reservations(self, name, now):
-        effects = []
-        for queue in list(self._flows.values()):
-            reservation = queue.reservations.get(name)
-            if reservation is not None and reservation.open:
-                self._lower(reservation, name, reservation.open)
-                effects += self._place(queue.flow, now)
-        return effects
+        return effects + self._dispatcher.replaced(name, incarnation, now)
 
     def _give_up(self, peer, reason, now):
         """Takes as unknown what was sent to an executor that will not answer."""
-        grants = self._sent.pop(peer, {})
         effects = []
-        for job_id, index in sorted(key for keys in grants.values() for key in keys):
+        for job_id, index in self._sent.pop_executor(peer):
             job = self._jobs.get(job_id)
             if job is None:
                 continue
@@ -750,24 +536,13 @@
 
     def handover(self, now):
         """Returns the messages that carry every kept answer to a successor."""
-        answers = [(kept.fingerprint, kept.answer) for kept in self._kept.values()]
-        starts = range(0, len(answers) or 1, HANDOVER_PART)
-        parts = [tuple(answers[start : start + HANDOVER_PART]) for start in starts]
-        peer = self._identity
-        blocks = self._blocks.valid(now)
-        return [
-            Handover(peer.name, peer.incarnation, number, len(parts), blocks, part)
-            for number, part in enumerate(parts)
-        ]
+        return self._answers.parts(self._identity, self._blocks.valid(now))
 
     def _take_over(self, sender, message, now):
         owner = Peer(message.name, message.incarnation)
         if sender != owner:
             return []
-        handed = self._handed.setdefault(owner, Inheritance(message))
-        handed.add(message)
-        self._timers.set(("handed", owner), now + self._limits.retention)
-        if not handed.whole:
+        if not self._answers.inherit(owner, message, now):
             return []
         return [Send(sender, HandoverTaken(message.incarnation))]
 
@@ -800,7 +575,7 @@
             return "tasks run at " + ", ".join(
                 sorted({task.worker for task in job.tasks if task.state == "running"})
             )
-        queue = self._queue(job.spec.flow)
+        queue = self._dispatcher.queue(job.spec.flow)
         asked = [name for name, r in queue.reservations.items() if r.open]
         if asked:
             return f"{queue.waiting} tasks of its kind wait for a slot at " + ", ".join(
@@ -809,12 +584,5 @@
         return "no worker that offers the service can be asked now"
 
 
-def _fits(member, needs):
-    return (
-        needs.memory_mb <= member.memory_mb
-        and needs.accelerators <= member.accelerators
-    )
-
-
 def _refusal(reason):
     return Count("refusals", reason)
--- a/packages/core/banyanwheel_core/jobs.py
+++ b/packages/core/banyanwheel_core/jobs.py
@@ -8,7 +8,7 @@
 from .effects import Peer
 from .models import Answer, JobSpec, JobState, Outcome, Reason
 
-__all__ = ["Inheritance", "Job", "Kept", "Task", "failed", "refused"]
+__all__ = ["Job", "Task", "failed", "refused"]
 
 JOB_CHART = Chart.load("job")
 TASK_CHART = Chart.load("task")
@@ -103,44 +103,6 @@
         return Outcome.NOT_RUN
 
 
-@dataclass(frozen=True, slots=True)
-class Kept:
-    """An answer kept for repeats; ``size`` is its encoded size in bytes."""
-
-    fingerprint: str
-    answer: Answer
-    size: int
-
-
-class Inheritance:
-    """What a coordinator that left has handed over, gathered from its parts."""
-
-    def __init__(self, message):
-        self._missing = set(range(message.parts))
-        self._blocks = frozenset(message.blocks)
-        self.answers = {}
-
-    @property
-    def whole(self):
-        """Whether every part has come."""
-        return not self._missing
-
-    def add(self, message):
-        """Takes in one part; a repeat changes nothing."""
-        self._missing.discard(message.part)
-        for fingerprint, answer in message.answers:
-            self.answers[answer.id] = Kept(fingerprint, answer, 0)
-
-    def never_submitted(self, job_id):
-        """Tells whether this id is certain never to have been accepted.
-
-        Only with every part at hand, and for a block that was valid at the handover:
-        the answers of older blocks may have been forgotten by then.
-        """
-        known = str(job_id) in self.answers
-        return self.whole and job_id.block in self._blocks and not known
-
-
 def refused(job_id, reason, detail, retry_after_ms=0):
     """Answers a submission of which nothing was run, and nothing will be."""
     return Answer(
