Add the command line of the daemon

Roles are imported by their subcommand only. An address that can't be had is a ListenError, one line to the person.

--- a/packages/core/banyanwheel_core/errors.py
+++ b/packages/core/banyanwheel_core/errors.py
@@ -1,6 +1,12 @@
 """The tree of errors that banyanwheel raises."""
 
-__all__ = ["BanyanwheelError", "FindingsError", "InvalidIdError", "ChartError"]
+__all__ = [
+    "BanyanwheelError",
+    "FindingsError",
+    "InvalidIdError",
+    "ChartError",
+    "ListenError",
+]
 
 
 class BanyanwheelError(Exception):
@@ -15,6 +21,10 @@
     """A state chart file that is malformed, or a step that a chart forbids."""
 
 
+class ListenError(BanyanwheelError):
+    """An address that this process can't listen on."""
+
+
 class FindingsError(BanyanwheelError):
     """Input with one or more faults, reported together.
 
--- /dev/null
+++ b/packages/daemon/banyanwheel_daemon/cli/app.py
@@ -0,0 +1,80 @@
+"""The subcommands: one for each role, and a check of settings.
+
+A role's module is imported by its subcommand, so that a process holds only what its
+role needs.
+"""
+
+from importlib.metadata import version as installed_version
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from ..settings import AgentSettings, EntrySettings, check as check_settings
+from ..status import ExitStatus
+
+__all__ = ["app"]
+
+DISTRIBUTION = "banyanwheel-daemon"
+
+app = typer.Typer(
+    add_completion=False,
+    no_args_is_help=False,
+    pretty_exceptions_enable=False,
+    help="Runs one process of a banyanwheel system.",
+)
+
+SettingsFile = Annotated[
+    Path, typer.Option("--settings", metavar="FILE", help="Settings in TOML.")
+]
+
+
+def _print_version(context: typer.Context, wanted: bool):
+    if wanted:
+        print(
+            f"banyanwheeld {installed_version(DISTRIBUTION)}", file=context.obj.stdout
+        )
+        raise typer.Exit
+
+
+@app.callback()
+def _main(
+    version: Annotated[
+        bool,
+        typer.Option(
+            "--version",
+            callback=_print_version,
+            is_eager=True,
+            help="Print the version and exit.",
+        ),
+    ] = False,
+):
+    """Runs one process of a banyanwheel system."""
+
+
+@app.command()
+def entry(context: typer.Context, settings: SettingsFile):
+    """Serves callers and operators over HTTP."""
+    from .. import entry as role
+
+    return role.run(EntrySettings.from_file(settings), context.obj)
+
+
+@app.command()
+def agent(context: typer.Context, settings: SettingsFile):
+    """Runs beside a backend server: starts its tasks and coordinates jobs."""
+    from .. import agent as role
+
+    return role.run(AgentSettings.from_file(settings), context.obj)
+
+
+@app.command()
+def check(
+    context: typer.Context,
+    file: Annotated[Path, typer.Argument(help="Settings of either role.")],
+):
+    """Prints every fault of a settings file, one a line."""
+    findings = check_settings(file)
+    for finding in findings:
+        print(finding, file=context.obj.stdout)
+    return ExitStatus.SETTINGS if findings else ExitStatus.OK
--- /dev/null
+++ b/packages/daemon/banyanwheel_daemon/context.py
@@ -0,0 +1,25 @@
+"""The streams that a run of the daemon uses."""
+
+import sys
+from dataclasses import dataclass
+from typing import TextIO
+
+__all__ = ["Environment"]
+
+
+@dataclass(frozen=True, slots=True)
+class Environment:
+    """What surrounds one run; tests pass their own."""
+
+    stdout: TextIO
+    stderr: TextIO
+
+    @classmethod
+    def from_process(cls):
+        """Returns the environment of the running process."""
+        return cls(sys.stdout, sys.stderr)
+
+    def report(self, error):
+        """Writes an error as one line to the standard error stream."""
+        line = " ".join(str(error).split())
+        print(f"banyanwheeld: {line}", file=self.stderr)
--- a/packages/daemon/banyanwheel_daemon/handlers.py
+++ b/packages/daemon/banyanwheel_daemon/handlers.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from eliot import write_traceback
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
 from tornado.web import Application, HTTPError, RequestHandler, stream_request_body
 
 from banyanwheel_core import checking
@@ -175,7 +176,7 @@
         self._render = render
 
     def get(self):
-        self.set_header("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+        self.set_header("Content-Type", CONTENT_TYPE_LATEST)
         self.finish(self._render())
 
 
--- a/packages/daemon/banyanwheel_daemon/transport.py
+++ b/packages/daemon/banyanwheel_daemon/transport.py
@@ -17,6 +17,7 @@
 from tornado.ioloop import IOLoop
 
 from banyanwheel_core.effects import Peer
+from banyanwheel_core.errors import ListenError
 from banyanwheel_core.messages import Envelope, Misaddressed
 
 __all__ = ["Counts", "Transport"]
@@ -98,7 +99,7 @@
         self.counts = Counts()
         self._zmq = zmq.Context(io_threads=1)
         self._router = self._open(zmq.ROUTER)
-        self._router.bind(SCHEME + bind_address)
+        self._bind(bind_address)
 
     @property
     def address(self):
@@ -152,6 +153,13 @@
         """Sends what is queued now, without waiting for the end of the turn."""
         self._flush()
 
+    def _bind(self, address):
+        try:
+            self._router.bind(SCHEME + address)
+        except zmq.ZMQError as error:
+            self.close()
+            raise ListenError(f"{address}: {error.strerror}") from error
+
     def _open(self, kind):
         socket = self._zmq.socket(kind)
         socket.linger = 0
--- a/packages/daemon/banyanwheel_daemon/web.py
+++ b/packages/daemon/banyanwheel_daemon/web.py
@@ -12,7 +12,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
-from banyanwheel_core.errors import InvalidIdError
+from banyanwheel_core.errors import InvalidIdError, ListenError
 from banyanwheel_core.findings import Finding
 from banyanwheel_core.ids import JobId
 from banyanwheel_core.models import (
@@ -171,8 +171,14 @@
         return tuple(self._addresses)
 
     def listen(self, host, port):
-        """Accepts connections; port 0 lets the system choose one."""
-        sockets = bind_sockets(port, host)
+        """Accepts connections; port 0 lets the system choose one.
+
+        Raises ListenError where the address can't be had.
+        """
+        try:
+            sockets = bind_sockets(port, host)
+        except OSError as error:
+            raise ListenError(f"{host}:{port}: {error.strerror}") from error
         self._server.add_sockets(sockets)
         for bound in sockets:
             number, chosen = bound.getsockname()[:2]
--- a/tests/daemon/test_transport.py
+++ b/tests/daemon/test_transport.py
@@ -5,6 +5,7 @@
 import zmq
 
 from banyanwheel_core.effects import Peer
+from banyanwheel_core.errors import ListenError
 from banyanwheel_core.messages import (
     Load,
     Misaddressed,
@@ -195,3 +196,11 @@
         assert gulf.transport.connections == 0
 
     run(scenario, GULF, REEF)
+
+
+def test_an_address_that_is_taken_is_a_listen_error():
+    async def scenario(gulf):
+        with pytest.raises(ListenError, match=gulf.transport.address):
+            Transport("reef-1", "2", gulf.transport.address, print)
+
+    run(scenario, GULF)
