--- a/packages/daemon/banyanwheel_daemon/problems.py
+++ b/packages/daemon/banyanwheel_daemon/problems.py
@@ -135,7 +135,7 @@
     """Returns the problem that tells of a failed job."""
     return _from_reason(
         answer.reason or Reason.OUTCOME_UNKNOWN,
-        answer.outcome or Outcome.UNKNOWN,
+        answer.outcome,
         answer.retry_after_ms,
         detail=answer.detail,
         id=answer.id,
--- a/tests/daemon/test_web.py
+++ b/tests/daemon/test_web.py
@@ -1,5 +1,7 @@
 import asyncio
 import hashlib
+import re
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -359,3 +361,11 @@
         assert server.in_progress == 0
 
     serve(desk, scenario)
+
+
+def test_the_page_on_interfaces_states_each_reason_with_its_status():
+    page = (Path(__file__).parents[2] / "docs" / "INTERFACE.md").read_text()
+    rows = re.findall(r"^\| `([a-z-]+)` \| (\d{3}) \|", page, re.MULTILINE)
+    expected = {reason.value: status for reason, status in problems.STATUSES.items()}
+    assert {reason: int(status) for reason, status in rows} == expected
+    assert len(rows) == len(Reason)
