--- a/tests/standins/backend_server.py
+++ b/tests/standins/backend_server.py
@@ -191,6 +191,7 @@
             self.bad_request(str(error))
             return
         if self._server.full:
+            self.set_header("Not-Started", "true")
             self.write_json({"error": "no free slot"}, status=503)
             return
         await self._run((job_id, int(index)), payload, lease_ms)
@@ -288,6 +289,9 @@
         )
         try:
             await self._client.fetch(request)
+        except ConnectionRefusedError:
+            # A leaving server need not wait for an agent that is gone.
+            return leaving
         except (HTTPError, OSError):
             return False
         return True
