--- a/packages/client/banyanwheel_client/client.py
+++ b/packages/client/banyanwheel_client/client.py
@@ -11,26 +11,28 @@
 import msgspec
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
-from banyanwheel_core.models import Answer, JobSpec, Reason
+from banyanwheel_core.models import Answer, JobSpec
 
 from .errors import (
+    ClientError,
     RefusedError,
     UnknownOutcomeError,
+    UnknownProblemError,
     UnreachableError,
     error_from_problem,
 )
 from .problem import Problem
+from .tries import ROUNDS, JobTries, NoAnswerError
 
 __all__ = ["Client", "ClientSettings", "Reply"]
 
 DEFAULT_TRY_TIMEOUT_S = 5.0
 CONNECT_TIMEOUT_S = 2.0
 GRACE_S = 5.0  # waited beyond a job's deadline before its outcome is called unknown
-ROUND_PAUSE_S = 0.2  # between two rounds over all entries
-ROUNDS = 2  # over all entries, while none of them may have read the request
+ROUND_PAUSE_S = 0.2  # after the first round over all entries; doubles each round
+MAX_ROUND_PAUSE_S = 2.0
 MAX_BODY_BYTES = 64 * 1024 * 1024
 UNSENT_ERRORS = frozenset({ECONNREFUSED, EHOSTUNREACH, ENETUNREACH})
-ENTRY_REASONS = frozenset({Reason.STOPPING, Reason.NO_COORDINATOR})
 JSON_HEADERS = {"Content-Type": "application/json"}
 TEXT_HEADERS = {"Content-Type": "text/plain; charset=utf-8"}
 
@@ -52,14 +54,6 @@
     incomplete: tuple[str, ...] = ()
 
 
-class _NoAnswerError(Exception):
-    """One try got no answer; ``sent`` tells whether the entry may have read it."""
-
-    def __init__(self, entry, cause, sent):
-        self.sent = sent
-        super().__init__(f"{entry}: {cause}")
-
-
 class Client:
     """Calls the system; a request may be repeated through another entry.
 
@@ -120,7 +114,11 @@
         )
         job_id = msgspec.json.decode(response.body)["ids"][0]
         self._unanswered = job_id
-        answer = await self._submit_under(job_id, body, limit_s)
+        try:
+            answer = await self._submit_under(job_id, body, limit_s)
+        except ClientError:
+            self._unanswered = ""
+            raise
         self._unanswered = ""
         return answer
 
@@ -128,29 +126,21 @@
         """Repeats a job under its id until its answer, or the limit."""
         path = f"/v1/jobs/{quote(job_id, safe='')}"
         limit = time.monotonic() + limit_s
-        rounds = 0
-        doubtful = False
+        pause = ROUND_PAUSE_S
+        tries = JobTries(job_id)
         while True:
-            last, refusal = "", None
+            tries.begin_round()
             for _ in self._settings.entries:
                 try:
                     return await self._put(path, body)
-                except _NoAnswerError as error:
-                    last = str(error)
-                    doubtful = doubtful or error.sent
-                except RefusedError as error:
-                    if error.problem.reason not in ENTRY_REASONS:
-                        raise
-                    last, refusal = str(error), error
+                except NoAnswerError as error:
+                    tries.unanswered(error)
+                except (RefusedError, UnknownProblemError) as error:
+                    tries.told(error)
                     self._use_next_entry()
-            rounds += 1
-            if refusal is not None and not doubtful:
-                raise refusal
-            if not doubtful and rounds >= ROUNDS:
-                raise UnreachableError(f"{job_id}: not run: {last}")
-            if time.monotonic() >= limit:
-                raise UnknownOutcomeError(f"{job_id}: outcome unknown: {last}")
-            await asyncio.sleep(ROUND_PAUSE_S)
+            tries.end_round(expired=time.monotonic() >= limit)
+            await asyncio.sleep(pause)
+            pause = min(pause * 2, MAX_ROUND_PAUSE_S)
 
     async def _put(self, path, body):
         response = _checked(await self._try("PUT", path, body, JSON_HEADERS))
@@ -165,7 +155,7 @@
             for _ in self._settings.entries:
                 try:
                     return _checked(await self._try("POST", path, body, headers))
-                except _NoAnswerError as error:
+                except NoAnswerError as error:
                     last = str(error)
                     if error.sent and not repeatable:
                         raise UnknownOutcomeError(f"outcome unknown: {last}") from error
@@ -187,11 +177,11 @@
             response = await self._http.fetch(request, raise_error=False)
         except (HTTPClientError, OSError) as error:
             self._use_next_entry()
-            raise _NoAnswerError(entry, error, _may_be_sent(error)) from error
+            raise NoAnswerError(entry, error, _may_be_sent(error)) from error
         if response.code >= 500 and not Problem.from_response(response).outcome:
             # A balancer's own words, or an entry's fault: neither tells the outcome.
             self._use_next_entry()
-            raise _NoAnswerError(entry, f"HTTP status {response.code}", sent=True)
+            raise NoAnswerError(entry, f"HTTP status {response.code}", sent=True)
         return response
 
     def _use_next_entry(self):
--- a/packages/core/banyanwheel_core/language/builder.py
+++ b/packages/core/banyanwheel_core/language/builder.py
@@ -126,6 +126,8 @@
         match token.type:
             case "QUOTED":
                 return self._decode(token, str)
+            case "FLAG":
+                return token == "true"
             case "DURATION":
                 return self._duration(token)
             case "NUMBER":
--- a/packages/core/banyanwheel_core/language/commands.py
+++ b/packages/core/banyanwheel_core/language/commands.py
@@ -59,7 +59,7 @@
     CONTAINS = "~"
 
 
-Value = str | int | float | Duration
+Value = str | bool | int | float | Duration
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/banyanwheel_core/language/filters.py
+++ b/packages/core/banyanwheel_core/language/filters.py
@@ -26,7 +26,6 @@
     Kind.FLAG: _EQUALITIES,
     Kind.LIST: frozenset({Operator.CONTAINS}),
 }
-_FLAGS = {"true": True, "false": False}
 _HINTS = {
     Kind.TEXT: "a text; put it in double quotes",
     Kind.NUMBER: "a number",
@@ -120,19 +119,14 @@
         case Kind.DURATION:
             return isinstance(value, Duration)
         case Kind.NUMBER:
-            return isinstance(value, int | float)
+            return isinstance(value, int | float) and not isinstance(value, bool)
         case Kind.FLAG:
-            return isinstance(value, str) and value in _FLAGS
+            return isinstance(value, bool)
     return isinstance(value, str)
 
 
 def _plain(kind, value):
-    match kind:
-        case Kind.DURATION:
-            return value.milliseconds
-        case Kind.FLAG:
-            return _FLAGS[value]
-    return value
+    return value.milliseconds if kind is Kind.DURATION else value
 
 
 def _sorted(rows, order):
--- a/packages/core/banyanwheel_core/language/parser.py
+++ b/packages/core/banyanwheel_core/language/parser.py
@@ -20,6 +20,7 @@
 WORDS_FOR_TERMINALS = {
     "$END": "the end of the command",
     "DURATION": "a duration",
+    "FLAG": "true or false",
     "JSON_OBJECT": "a JSON object",
     "NAME": "a name",
     "NUMBER": "a number",
--- a/packages/core/banyanwheel_core/language/printing.py
+++ b/packages/core/banyanwheel_core/language/printing.py
@@ -80,7 +80,7 @@
     match value:
         case Duration(milliseconds):
             return f"{milliseconds}ms"
-        case str():
+        case str() | bool():
             return _json(value)
     return format(Decimal(repr(value)), "f")
 
--- a/packages/core/banyanwheel_core/language/tables.py
+++ b/packages/core/banyanwheel_core/language/tables.py
@@ -74,39 +74,28 @@
 
 COLUMNS = {
     Table.JOBS: (
-        *_texts(id="job id", state="waiting, running, complete or failed"),
+        *_texts(job="job id", state="waiting, running, complete or failed"),
         *_FLOW,
         *_numbers(
             tasks="tasks of the job",
-            started="tasks sent to a worker",
+            waiting="tasks not sent to a worker",
+            running="tasks sent and without a result",
             done="tasks with a result",
         ),
-        *_durations(
-            age_ms="time since the coordinator accepted the job",
-            remaining_ms="time left until the job's deadline",
-        ),
-        *_flags(idempotent="whether a task may be retried elsewhere"),
         *_texts(
             coordinator="member that decides on the job",
-            outcome="of a failed job: not-run, ran or unknown",
-            reason="why the job failed or was refused",
+            workers="workers that its tasks were sent to, with commas between",
+            why="why it waits, or where it runs",
         ),
     ),
     Table.TASKS: (
         *_texts(job="job id"),
-        *_numbers(index="position in the job, from 0"),
-        *_texts(state="state of the task"),
+        *_numbers(task="position in the job, from 0"),
+        *_texts(worker="worker that runs the task", state="state of the task"),
         *_FLOW,
-        *_texts(worker="worker that the task was sent to"),
-        *_durations(
-            age_ms="time since the start was received",
-            declared_ms="declared run time",
-            run_ms="measured run time of a finished task",
-        ),
-        *_texts(reason="why the task failed or was refused"),
     ),
     Table.WORKERS: (
-        *_texts(name="member beside the backend server"),
+        *_texts(worker="member beside the backend server"),
         *_PLACE,
         *_lists(services="services of the backend server"),
         *_texts(state="state of the backend server"),
@@ -114,7 +103,6 @@
             slots="slots in all",
             free_slots="slots that no task and no grant holds",
             running="tasks that the backend server runs",
-            queued="slots that coordinators have asked for",
         ),
         *_durations(queued_ms="estimated time to work off the queue"),
         *_flags(draining="whether a drain keeps new work away"),
@@ -122,13 +110,12 @@
     Table.QUEUES: (
         *_texts(worker="worker that the queue is at"),
         *_FLOW,
+        *_texts(coordinator="member that asked for the slots"),
         *_numbers(
-            weight="share of the worker's service",
-            length="slots that coordinators have asked for",
-            limit="bound on the length",
-            running="tasks that hold a slot",
+            waiting="slots asked for and not granted",
+            held="slots that the flow holds at the worker",
         ),
-        *_durations(wait_ms="estimated wait of the last in the queue"),
+        *_texts(why="what the queue waits for"),
     ),
     Table.FLOWS: (
         *_texts(coordinator="member whose jobs these are"),
@@ -137,12 +124,11 @@
             jobs="jobs without an answer",
             waiting="tasks not sent to a worker",
             running="tasks sent and without a result",
-            limit="bound on the waiting tasks",
         ),
     ),
     Table.MEMBERS: (
         *_texts(
-            name="name from the member's settings",
+            member="name from the member's settings",
             incarnation="drawn at each start of the process",
             address="address of the member",
         ),
--- a/packages/daemon/banyanwheel_daemon/operations.py
+++ b/packages/daemon/banyanwheel_daemon/operations.py
@@ -48,6 +48,7 @@
     DrainKind.RACK: "racks",
     DrainKind.DATA_CENTRE: "data_centres",
 }
+FLOW_FIELDS = ("coordinator", "service", "subsidiary", "kind")
 
 Row = dict[str, Any]
 
@@ -93,7 +94,10 @@
     """What an entry does for its operators."""
 
     async def inspect(self, table: Table) -> Inspection:
-        """Asks every agent for its rows of ``table``."""
+        """Asks every agent for its rows of ``table``.
+
+        It is never asked for FLOWS or CONFIGURATION, which follow from the others.
+        """
 
     async def why(self, job_id: str) -> list[Row]:
         """Returns what is known of a job's waiting, refusal and placement."""
@@ -167,13 +171,16 @@
     async def _show(self, show):
         if show.table is Table.CONFIGURATION:
             inspection = Inspection(_configuration_rows(*self._desk.configuration()))
+        elif show.table is Table.FLOWS:
+            jobs = await self._desk.inspect(Table.JOBS)
+            inspection = Inspection(_flow_rows(jobs.rows), jobs.silent)
         else:
             inspection = await self._desk.inspect(show.table)
         return Reply(tuple(select(show, inspection.rows)), inspection.silent)
 
     async def _cancel_jobs(self, where):
         inspection = await self._desk.inspect(Table.JOBS)
-        job_ids = [row["id"] for row in inspection.rows if matches(where, row)]
+        job_ids = [row["job"] for row in inspection.rows if matches(where, row)]
         turns = asyncio.Semaphore(CONCURRENT_CANCELS)
 
         async def cancel(job_id):
@@ -328,6 +335,19 @@
     return {"kind": str(kind), "name": name, "result": result, "offset": offset}
 
 
+def _flow_rows(jobs):
+    flows = {}
+    for job in jobs:
+        key = tuple(job[name] for name in FLOW_FIELDS)
+        row = flows.setdefault(
+            key, dict(zip(FLOW_FIELDS, key, strict=True)) | {"jobs": 0}
+        )
+        row["jobs"] += 1
+        for name in ("waiting", "running"):
+            row[name] = row.get(name, 0) + job[name]
+    return tuple(flows.values())
+
+
 def _configuration_rows(offset, document):
     return tuple(
         {"offset": offset, "path": path, "value": msgspec.json.encode(value).decode()}
