--- a/packages/daemon/banyanwheel_daemon/log_service.py
+++ b/packages/daemon/banyanwheel_daemon/log_service.py
@@ -13,6 +13,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
 from banyanwheel_core.errors import BanyanwheelError
+from banyanwheel_core.streams import Page, Record
 
 __all__ = [
     "AppendUncertain",
@@ -55,25 +56,6 @@
     """An append was sent and its answer lost; it may have taken effect."""
 
 
-class Record(msgspec.Struct, frozen=True):
-    """One record of a stream; ``age_ms`` is its age when the page was made."""
-
-    offset: int
-    age_ms: int
-    data: msgspec.Raw
-
-
-class Page(msgspec.Struct, frozen=True):
-    """Records in order of offset.
-
-    ``first`` is the oldest offset still kept, ``next`` where to read on.
-    """
-
-    first: int
-    next: int
-    records: tuple[Record, ...]
-
-
 class _Appended(msgspec.Struct, frozen=True):
     offset: int
 
