Put configuration in force everywhere and answer operators' questions

Every process follows both streams, takes a newer version from a peer that shows a higher offset, and asks the entries of its settings while the log is unread. Operators see jobs, tasks, queues, workers, members and refusals, with reasons.

--- a/packages/core/banyanwheel_core/coordinator.py
+++ b/packages/core/banyanwheel_core/coordinator.py
@@ -229,6 +229,9 @@
         spec = message.spec
         if self._stopping:
             return Reason.STOPPING, "the coordinator is stopping", 1
+        fault = self._policy.fault_in(spec)
+        if fault is not None:
+            return Reason.TOO_LARGE, str(fault), 0
         if len(self._jobs) + len(self._answers) >= self._limits.max_jobs or (
             self._answers.size >= self._limits.max_answer_bytes
         ):
@@ -575,13 +578,28 @@
             return "tasks run at " + ", ".join(
                 sorted({task.worker for task in job.tasks if task.state == "running"})
             )
-        queue = self._dispatcher.queue(job.spec.flow)
-        asked = [name for name, r in queue.reservations.items() if r.open]
-        if asked:
-            return f"{queue.waiting} tasks of its kind wait for a slot at " + ", ".join(
-                sorted(asked)
-            )
-        return "no worker that offers the service can be asked now"
+        return self._dispatcher.why(job.spec.flow)
+
+    def explain(self, job_id, now):
+        """Rows that tell why a job waits, was refused, or runs where it does."""
+        job = self._jobs.get(job_id)
+        if job is not None:
+            rows = self._dispatcher.estimates(job.spec.flow, job.spec.needs, now)
+            return [{"job": job_id, "state": job.state, "why": self._why(job)}, *rows]
+        kept = self._answers.find(job_id)
+        answer = kept.answer if kept else self._answer_without_job(job_id, now)
+        if answer is None:
+            return [{"job": job_id, "state": "never submitted", "why": ""}]
+        return [
+            {
+                "job": job_id,
+                "state": answer.state,
+                "why": answer.detail or "every task was answered",
+                "reason": answer.reason,
+                "outcome": answer.outcome,
+                "workers": ",".join(sorted(set(answer.workers))),
+            }
+        ]
 
 
 def _refusal(reason):
--- a/packages/core/banyanwheel_core/dispatcher.py
+++ b/packages/core/banyanwheel_core/dispatcher.py
@@ -132,6 +132,44 @@
             effects += self.place(queue.flow, now)
         return effects
 
+    def why(self, flow):
+        """Tells what the waiting tasks of a flow wait for."""
+        queue = self.queue(flow)
+        asked = sorted(name for name, r in queue.reservations.items() if r.open)
+        if asked:
+            names = ", ".join(asked)
+            return f"{queue.waiting} tasks of its kind wait for a slot at {names}"
+        return "no worker that offers the service can be asked now"
+
+    def estimates(self, flow, needs, now):
+        """Rows for operators: how each worker compares for a flow."""
+        return [
+            self._estimate(flow, needs, member, now)
+            for member in self.executors(flow.service)
+        ]
+
+    def _estimate(self, flow, needs, member, now):
+        candidate = Candidate(member.name, member.data_centre, member.slots)
+        reservation = self._reservation(self.queue(flow), member)
+        return {
+            "worker": member.name,
+            "expected_ms": round(self._placement.expected_ms(flow, candidate)),
+            "free_slots": self._placement.free(member.name),
+            "asked": reservation.open,
+            "why": self._left_out(reservation, needs, member, now),
+        }
+
+    def _left_out(self, reservation, needs, member, now):
+        if not fits(member, needs):
+            return "lacks the memory or accelerators that the tasks need"
+        if not self._members.usable(member.name, now):
+            return "left out: it did not answer"
+        if reservation.refused_until > now:
+            return "left out: it refused new work"
+        if self._placement.ejected(member.name, now):
+            return "left out: it fails more tasks than its peers"
+        return "may be asked"
+
     def _place_needs(self, queue, needs, asked, now):
         candidates = self._candidates(queue, needs, now)
         names = {candidate.name for candidate in candidates}
--- a/packages/core/banyanwheel_core/entry.py
+++ b/packages/core/banyanwheel_core/entry.py
@@ -21,6 +21,7 @@
     SubmitJob,
 )
 from .models import Answer, JobSpec, Reason
+from .policy import Policy
 from .timers import Timers
 
 __all__ = ["Entry", "EntryLimits", "NoIdsError"]
@@ -83,6 +84,7 @@
         self._pending = {}
         self._by_job = defaultdict(dict)
         self._timers = Timers()
+        self._policy = Policy()
 
     @property
     def pending(self):
@@ -108,6 +110,10 @@
         }
         return names | requested
 
+    def configure(self, policy):
+        """Puts the operators' bounds on submissions in force."""
+        self._policy = policy
+
     def loaded(self, name, load):
         """Takes in a load that an agent reported."""
         self._loads[name] = load
@@ -121,6 +127,10 @@
 
     def submit(self, token, job_id, spec, fingerprint, now):
         """Forwards a submission; without an id, one is taken here."""
+        fault = self._policy.fault_in(spec) if job_id is None else None
+        if fault is not None:
+            answer = refused("", Reason.TOO_LARGE, fault.message, place=fault.place)
+            return [Answered(token, answer), _refusal(Reason.TOO_LARGE)]
         if len(self._pending) >= self._limits.max_pending:
             return self._refuse_unsent(token, job_id, Reason.QUEUE_FULL)
         short_form = job_id is None
--- a/packages/core/banyanwheel_core/executor.py
+++ b/packages/core/banyanwheel_core/executor.py
@@ -8,6 +8,8 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+import msgspec
+
 from .charts import Chart
 from .effects import Abort, Count, Execute, Peer, Send
 from .fairness import FairQueue
@@ -240,27 +242,26 @@
         self._fair.forget_idle(now)
         return effects + self._dispatch(now)
 
-    def rows(self):
-        """Rows for operators: tasks that run here and reservations that wait."""
-        tasks = [
+    def task_rows(self):
+        """Rows for operators: the tasks that run here."""
+        return [
             {
                 "job": job_id,
                 "task": index,
                 "worker": self._identity.name,
                 "state": str(record.outcome),
-                "service": record.flow.service,
-                "subsidiary": record.flow.subsidiary,
-                "kind": record.flow.kind,
+                **msgspec.structs.asdict(record.flow),
             }
             for (job_id, index), record in self._tasks.items()
             if record.outcome is TaskOutcome.RUNNING
         ]
-        queues = [
+
+    def queue_rows(self):
+        """Rows for operators: the reservations that wait here, and why."""
+        return [
             {
                 "worker": self._identity.name,
-                "service": demand.flow.service,
-                "subsidiary": demand.flow.subsidiary,
-                "kind": demand.flow.kind,
+                **msgspec.structs.asdict(demand.flow),
                 "coordinator": demand.owner.name,
                 "waiting": demand.open,
                 "held": self._fair.occupied(demand.flow),
@@ -269,7 +270,6 @@
             for demand in self._demands.values()
             if demand.open
         ]
-        return tasks, queues
 
     # Reservations and grants.
 
--- a/packages/core/banyanwheel_core/jobs.py
+++ b/packages/core/banyanwheel_core/jobs.py
@@ -103,7 +103,7 @@
         return Outcome.NOT_RUN
 
 
-def refused(job_id, reason, detail, retry_after_ms=0):
+def refused(job_id, reason, detail, retry_after_ms=0, place=""):
     """Answers a submission of which nothing was run, and nothing will be."""
     return Answer(
         job_id,
@@ -111,6 +111,7 @@
         outcome=Outcome.NOT_RUN,
         reason=reason,
         detail=detail,
+        place=place,
         retry_after_ms=retry_after_ms,
     )
 
--- a/packages/daemon/banyanwheel_daemon/agent.py
+++ b/packages/daemon/banyanwheel_daemon/agent.py
@@ -10,7 +10,13 @@
 from banyanwheel_core.coordinator import Coordinator
 from banyanwheel_core.effects import Abort, Execute, Peer, Send
 from banyanwheel_core.executor import Executor
-from banyanwheel_core.messages import HandoverTaken, MemberRecord
+from banyanwheel_core.language import Table
+from banyanwheel_core.messages import (
+    HandoverTaken,
+    InspectReply,
+    InspectRequest,
+    MemberRecord,
+)
 from banyanwheel_core.placement import Placement
 
 from .announcements import make_application
@@ -104,6 +110,13 @@
             self._announcing = True
             self.spawn(self._append_record(record))
 
+    def on_configured(self, policy):
+        """Puts weights, bounds and drains in force."""
+        self._coordinator.configure(policy)
+        drained = self._configuration.is_drained(self._record())
+        now = time.monotonic()
+        self.perform(self._executor.configure(policy, drained, now))
+
     def on_lost(self, name, now):
         """Leaves a peer that does not answer out for a while."""
         super().on_lost(name, now)
@@ -114,11 +127,49 @@
         self._coordinator.peer_heard(name)
 
     def _decide(self, sender, message, now):
-        if isinstance(message, HandoverTaken):
-            self._handed_over = True
-            return []
+        match message:
+            case HandoverTaken():
+                self._handed_over = True
+                return []
+            case InspectRequest(number=number, what=what):
+                rows = msgspec.Raw(msgspec.json.encode(self._rows(what)))
+                return [Send(sender, InspectReply(number, rows))]
         return super()._decide(sender, message, now)
 
+    # Operators.
+
+    def _rows(self, what):
+        table, _, job_id = what.partition(" ")
+        match table:
+            case Table.JOBS:
+                return self._coordinator.rows()
+            case Table.TASKS:
+                return self._executor.task_rows()
+            case Table.QUEUES:
+                return self._executor.queue_rows()
+            case Table.WORKERS:
+                return [self._worker_row()]
+            case Table.REFUSALS:
+                return self.refusal_rows()
+            case "why":
+                return self._coordinator.explain(job_id, time.monotonic())
+        return []
+
+    def _worker_row(self):
+        record = self._record()
+        return {
+            "worker": record.name,
+            "data_centre": record.data_centre,
+            "rack": record.rack,
+            "services": record.services,
+            "state": self._executor.backend_state,
+            "slots": self._executor.slots,
+            "free_slots": self._executor.free_slots,
+            "running": self._executor.running,
+            "queued_ms": self._executor.load.queued_ms,
+            "draining": self._configuration.is_drained(record),
+        }
+
     # The backend server.
 
     def _on_announcement(self, announcement):
--- a/packages/daemon/banyanwheel_daemon/entry.py
+++ b/packages/daemon/banyanwheel_daemon/entry.py
@@ -5,10 +5,13 @@
 import time
 
 from banyanwheel_core.entry import Entry, NoIdsError
+from banyanwheel_core.messages import InspectReply
 from banyanwheel_core.models import JobState, Reason
 
+from .desk import OperatorDesk
 from .lifecycle import Lifecycle
 from .node import Node
+from .operations import CommandsHandler, Operations
 from .problems import ProblemError
 from .web import WebServer, make_application
 
@@ -35,10 +38,13 @@
         self._futures = {}
         self._tokens = itertools.count()
         self._lifecycle = Lifecycle()
+        self._desk = OperatorDesk(self)
+        options = {"operations": Operations(self._desk)}
         application = make_application(
             self,
             self._metrics.render,
             max_body_bytes=settings.limits.max_body_bytes,
+            routes=[(r"/v1/commands", CommandsHandler, options)],
         )
         self._web = WebServer(application)
         self._web.listen(settings.entry.http.host, settings.entry.http.port)
@@ -80,6 +86,10 @@
         """Turns to the successors of coordinators that have left."""
         self.perform(self._entry.members_changed(time.monotonic()))
 
+    def on_configured(self, policy):
+        """Puts the bounds on submissions in force."""
+        self._entry.configure(policy)
+
     def on_lost(self, name, now):
         """Waits a little longer for a coordinator that does not answer."""
         super().on_lost(name, now)
@@ -95,6 +105,12 @@
         if future is not None and not future.done():
             future.set_result(effect.answer)
 
+    def _decide(self, sender, message, now):
+        if isinstance(message, InspectReply):
+            self._desk.replied(sender, message)
+            return []
+        return super()._decide(sender, message, now)
+
     # The JobDesk.
 
     async def issue_ids(self, count):
--- a/packages/daemon/banyanwheel_daemon/log_service.py
+++ b/packages/daemon/banyanwheel_daemon/log_service.py
@@ -140,12 +140,17 @@
         self._random = random
         self._failures = 0
         self._stream = stream
+        self._rewound = None
 
     @property
     def next(self):
         """The offset that is read next."""
         return self._next
 
+    def rewind(self, offset):
+        """Reads on from ``offset`` after the read in progress."""
+        self._rewound = offset
+
     async def follow(self, on_page, on_lost):
         """Reads until cancelled; pauses grow while the log does not answer."""
         while True:
@@ -161,6 +166,8 @@
             self._failures = 0
             self._next = page.next
             on_page(page)
+            if self._rewound is not None:
+                self._next, self._rewound = self._rewound, None
             if not page.records:
                 await asyncio.sleep(self._rest(started))
 
--- a/packages/daemon/banyanwheel_daemon/metrics.py
+++ b/packages/daemon/banyanwheel_daemon/metrics.py
@@ -1,5 +1,7 @@
 """Counters and gauges by OpenTelemetry, rendered as Prometheus text."""
 
+from collections import Counter
+
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
@@ -26,6 +28,7 @@
 
     def __init__(self, process, role):
         self._counters = {}
+        self._totals = Counter()
         self._registry = CollectorRegistry()
         ProcessCollector(registry=self._registry)
         GCCollector(registry=self._registry)
@@ -46,6 +49,12 @@
             counter = self._meter.create_counter(name)
             self._counters[name] = counter
         counter.add(amount, {"reason": str(reason)})
+        self._totals[name, str(reason)] += amount
+
+    @property
+    def totals(self):
+        """The counters as a mapping of (name, reason) to a count."""
+        return dict(self._totals)
 
     def gauge(self, name, read, unit=""):
         """Registers a gauge whose value is ``read()`` at each rendering."""
--- a/packages/daemon/banyanwheel_daemon/node.py
+++ b/packages/daemon/banyanwheel_daemon/node.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+import dataclasses
 import secrets
 import time
 from collections import deque
+from functools import partial
 from random import Random
 
 import msgspec
@@ -15,10 +17,14 @@
 from tornado.ioloop import PeriodicCallback
 
 from banyanwheel_core import links
+from banyanwheel_core.configuration import Configuration
 from banyanwheel_core.effects import Answered, Count, Peer, Send
+from banyanwheel_core.errors import FindingsError
 from banyanwheel_core.links import Links
 from banyanwheel_core.membership import Membership
 from banyanwheel_core.messages import (
+    ConfigurationReply,
+    ConfigurationRequest,
     Grant,
     HandoverTaken,
     IdBlock,
@@ -36,6 +42,7 @@
     StartRefused,
     TaskResults,
 )
+from banyanwheel_core.policy import Policy
 
 from .log_service import Follower, LogService
 from .metrics import Metrics
@@ -45,9 +52,12 @@
 
 TICK_MS = 20
 IDLE_CONNECTION_SECONDS = 120.0
+NEWCOMER_PAUSE_SECONDS = 2.0  # between questions to the entries in a log outage
 
 # Messages that go back the way their question came.
 _REPLIES = (
+    ConfigurationReply,
+    ConfigurationRequest,
     Grant,
     HandoverTaken,
     IdBlock,
@@ -82,6 +92,13 @@
         )
         self._links = Links()
         self._log = LogService.from_settings(settings.log_service)
+        log_settings = settings.log_service
+        self._configuration = Configuration(
+            retention_s=log_settings.retention_ms / 1_000, random=self._random
+        )
+        self._members_follower = self._follower(log_settings.members_stream)
+        self._versions_follower = self._follower(log_settings.configuration_stream)
+        self._streams_read = set()
         self._effects = deque()
         self._performing = False
         self._known_incarnations = {}
@@ -91,12 +108,23 @@
             settings.process.name, incarnation, address, self._received
         )
         self._ticker = PeriodicCallback(self._tick, TICK_MS)
+        self._register_gauges()
 
     @property
     def identity(self):
         """This run of this process."""
         return self._identity
 
+    @property
+    def members(self):
+        """The membership as this process knows it."""
+        return self._members
+
+    @property
+    def configuration(self):
+        """The configuration as this process knows it."""
+        return self._configuration
+
     @property
     def address(self):
         """The address that peers are told."""
@@ -124,15 +152,22 @@
 
     def start(self):
         """Begins to follow the streams and to tick."""
-        stream = self._settings.log_service.members_stream
-        follower = Follower(
+        self.spawn(
+            self._members_follower.follow(self._on_members_page, self._on_members_lost)
+        )
+        self.spawn(
+            self._versions_follower.follow(self._on_versions_page, self._on_log_lost)
+        )
+        self.spawn(self._ask_entries())
+        self._ticker.start()
+
+    def _follower(self, stream):
+        return Follower(
             self._log,
             stream,
             poll_ms=self._settings.log_service.poll_ms,
             random=self._random,
         )
-        self.spawn(follower.follow(self._on_members_page, self._on_members_lost))
-        self._ticker.start()
 
     def spawn(self, coroutine):
         """Runs a coroutine beside the rest; a fault in it is logged."""
@@ -141,6 +176,30 @@
         task.add_done_callback(self._finished)
         return task
 
+    def refusal_rows(self):
+        """Rows for operators: the counters of refusals, failures and retries."""
+        return [
+            {
+                "process": self._identity.name,
+                "counter": name.removeprefix("banyanwheel."),
+                "reason": reason,
+                "count": count,
+            }
+            for (name, reason), count in self._metrics.totals.items()
+        ]
+
+    def _register_gauges(self):
+        gauges = {
+            "banyanwheel.configuration.offset": lambda: self._configuration.offset,
+            "banyanwheel.members": lambda: len(self._members.members),
+            "banyanwheel.connections": lambda: self._transport.connections,
+        }
+        for field in dataclasses.fields(self._transport.counts):
+            read = partial(getattr, self._transport.counts, field.name)
+            gauges[f"banyanwheel.transport.{field.name}"] = read
+        for name, read in gauges.items():
+            self._metrics.gauge(name, read)
+
     def close(self):
         """Stops ticking and closes what is open."""
         self._ticker.stop()
@@ -194,7 +253,7 @@
             peer,
             self._address_for(peer, message),
             message,
-            configuration=self.configuration_offset,
+            configuration=self._configuration.advertised,
             load=self.load,
         )
 
@@ -204,11 +263,6 @@
         member = self._members.find(peer.name)
         return member.address if member is not None else None
 
-    @property
-    def configuration_offset(self):
-        """Offset of the configuration in force, or -1."""
-        return -1
-
     # Messages.
 
     def _received(self, envelope):
@@ -217,6 +271,8 @@
         self._heard(sender.name, now)
         if envelope.load is not None:
             self.on_load(sender.name, envelope.load)
+        if self._configuration.wants(envelope.configuration):
+            self.perform([Send(sender, ConfigurationRequest())])
         for message in envelope.messages:
             self.perform(self._decide(sender, message, now))
 
@@ -243,6 +299,12 @@
                 self._members.merge(members, now)
                 self._check_members(now)
                 return []
+            case ConfigurationRequest():
+                reply = self._configuration.reply()
+                return [Send(sender, reply)] if reply is not None else []
+            case ConfigurationReply(offset=offset, document=document):
+                self._adopt(offset, bytes(document))
+                return []
         effects = []
         for decision in self.decisions:
             effects += decision.handle(sender, message, now)
@@ -310,6 +372,7 @@
 
     def _on_members_page(self, page):
         now = time.monotonic()
+        self._streams_read.add("members")
         self._members.log_seen(now)
         for record in page.records:
             self._apply_member(record, now)
@@ -328,6 +391,43 @@
         self._members.log_lost(time.monotonic())
         log_message("members:unreadable", fault=str(error))
 
+    def _on_log_lost(self, error):
+        log_message("log:unreadable", fault=str(error))
+
+    async def _ask_entries(self):
+        """Learns from the entries what the log can't tell during an outage."""
+        while len(self._streams_read) < 2:
+            for address in self._settings.peers.entries:
+                for message in (MembersRequest(), ConfigurationRequest()):
+                    self._transport.send(
+                        Peer(address, ""), address, message, configuration=-1
+                    )
+            await asyncio.sleep(NEWCOMER_PAUSE_SECONDS)
+
+    # Configuration.
+
+    def _on_versions_page(self, page):
+        self._streams_read.add("configuration")
+        if self._configuration.apply_page(page, time.monotonic()):
+            self._configured()
+
+    def _adopt(self, offset, document):
+        try:
+            adopted = self._configuration.adopt(offset, document)
+        except FindingsError as error:
+            log_message("configuration:invalid", offset=offset, fault=str(error))
+            return
+        if adopted:
+            self._versions_follower.rewind(self._configuration.position)
+            self._configured()
+
+    def _configured(self):
+        log_message("configuration:in-force", offset=self._configuration.offset)
+        self.on_configured(Policy.from_document(self._configuration.document))
+
+    def on_configured(self, policy):
+        """Is called when another configuration is in force."""
+
     def _check_members(self, now):
         """Tells the decisions which peers have been replaced."""
         for member in self._members.members:
