--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -29,6 +29,7 @@
 WAIT_TIMEOUT_S = 60
 POLL_S = 0.05
 LOG_SERVICE = "log_service"
+MEMBERS_STREAM = "members"
 
 
 class Cluster:
@@ -241,17 +242,16 @@
         return self._launch(name, server)
 
     def _is_whole(self):
-        return all(self._knows_all(name) for name in self.layout.entry_names)
+        """Whether all agents are on the log with their services, and entries ready."""
+        path = f"/streams/{MEMBERS_STREAM}/records?from=0"
+        records = call("GET", self._control(LOG_SERVICE), path)[1]["records"]
+        offering = {r["data"]["name"] for r in records if r["data"]["services"]}
+        return len(offering) == self.layout.agents and all(
+            map(self._ready, self.daemons)
+        )
 
-    def _knows_all(self, entry):
-        try:
-            ready = call("GET", self.http(entry), "/ready")[0] == 200
-        except OSError:
-            return False
-        if not ready:
-            return False
-        members = self.operator(entry).rows("show members")
-        return sum(bool(row["services"]) for row in members) == self.layout.agents
+    def _ready(self, name):
+        return call("GET", self.http(name), "/ready")[0] == 200
 
     def _control(self, name):
         ready = self._processes[name].ready
--- a/tests/standins/layout.py
+++ b/tests/standins/layout.py
@@ -1,11 +1,10 @@
 """Sizes of a cluster, and the settings files of its daemons."""
 
+import json
 import socket
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-import tomlkit
-
 __all__ = ["Layout", "pick_address", "write_settings"]
 
 
@@ -74,5 +73,13 @@
         "logs": {"file": str(directory / f"{name}.log")},
     }
     path = directory / f"{name}.toml"
-    path.write_text(tomlkit.dumps(document))
+    path.write_text("\n".join(_lines(document)))
     return path
+
+
+def _lines(document):
+    """Yields lines of TOML; JSON's texts, numbers, flags and arrays are TOML too."""
+    for table, keys in document.items():
+        yield f"[{table}]"
+        for key, value in keys.items():
+            yield f"{key} = {json.dumps(value)}"
