Serve operators' commands with the entry's shared handler, and test them

CommandsHandler now derives from BodyHandler, so that a command's body is bounded, a graceful stop waits for it, and every error is a problem document. The client passes over an entry that has no job ids yet.

--- a/packages/client/banyanwheel_client/client.py
+++ b/packages/client/banyanwheel_client/client.py
@@ -22,7 +22,7 @@
     error_from_problem,
 )
 from .problem import Problem
-from .tries import ROUNDS, JobTries, NoAnswerError
+from .tries import REASONS_NOT_RUN, ROUNDS, JobTries, NoAnswerError
 
 __all__ = ["Client", "ClientSettings", "Reply"]
 
@@ -148,7 +148,7 @@
 
     async def _deliver(self, path, body, headers, repeatable):
         """Posts a request until an entry answers it."""
-        last = ""
+        last = None
         for number in range(ROUNDS):
             if number:
                 await asyncio.sleep(ROUND_PAUSE_S)
@@ -156,9 +156,16 @@
                 try:
                     return _checked(await self._try("POST", path, body, headers))
                 except NoAnswerError as error:
-                    last = str(error)
+                    last = error
                     if error.sent and not repeatable:
                         raise UnknownOutcomeError(f"outcome unknown: {last}") from error
+                except RefusedError as error:
+                    if error.problem.reason not in REASONS_NOT_RUN:
+                        raise
+                    last = error
+                    self._use_next_entry()
+            if isinstance(last, RefusedError):
+                raise last
         raise UnreachableError(f"no entry answered: {last}")
 
     async def _try(self, method, path, body, headers):
--- a/packages/client/banyanwheel_client/tries.py
+++ b/packages/client/banyanwheel_client/tries.py
@@ -4,11 +4,11 @@
 
 from .errors import RefusedError, UnknownOutcomeError, UnreachableError
 
-__all__ = ["ROUNDS", "JobTries", "NoAnswerError"]
+__all__ = ["REASONS_NOT_RUN", "ROUNDS", "JobTries", "NoAnswerError"]
 
 ROUNDS = 2  # over all entries, while none of them may have read the request
 
-# Reasons with which an entry turns a job away without asking its coordinator.
+# Reasons with which an entry turns a request away without asking any coordinator.
 REASONS_NOT_RUN = frozenset({Reason.STOPPING, Reason.NO_COORDINATOR})
 REASONS_UNKNOWN = REASONS_NOT_RUN | {Reason.QUEUE_FULL, Reason.TABLE_FULL}
 
--- a/packages/daemon/banyanwheel_daemon/operations.py
+++ b/packages/daemon/banyanwheel_daemon/operations.py
@@ -2,10 +2,10 @@
 
 import asyncio
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any, Protocol
 
 import msgspec
-from tornado.web import RequestHandler
 
 from banyanwheel_core.errors import BanyanwheelError
 from banyanwheel_core.language import (
@@ -26,6 +26,9 @@
 )
 from banyanwheel_core.models import Answer, JobSpec, JobState, Outcome, Reason
 
+from .handlers import BodyHandler
+from .problems import PLAIN_TYPE, Problem, ProblemError
+
 __all__ = [
     "CommandsHandler",
     "Conflict",
@@ -40,6 +43,8 @@
     "Verdict",
 ]
 
+TEXT_TYPE = "text/plain"
+ROWS_TYPE = "application/x-ndjson"
 PUBLISH_ATTEMPTS = 8  # of a drain that meets conflicts
 CONFLICT_PAUSE_S = 0.05  # before the next attempt
 CONCURRENT_CANCELS = 64
@@ -124,14 +129,12 @@
 
 
 class OperationError(BanyanwheelError):
-    """A command that could not be executed; ``outcome`` tells what took effect."""
+    """A command that failed, told as a :class:`Problem`."""
 
     def __init__(self, status, title, detail, outcome, place=""):
-        self.status = status
-        self.title = title
-        self.detail = detail
-        self.outcome = outcome
-        self.place = place
+        self.problem = Problem(
+            PLAIN_TYPE, title, status, detail, outcome=outcome, place=place
+        )
         super().__init__(f"{title}: {detail}")
 
 
@@ -231,7 +234,7 @@
         raise _not_published(verdict)
 
 
-class CommandsHandler(RequestHandler):
+class CommandsHandler(BodyHandler):
     """Serves ``POST /v1/commands``: a command as text, its rows as JSON lines.
 
     Where members did not answer, the last line is ``{"incomplete": [names]}``.
@@ -247,62 +250,31 @@
             reply = await self._operations.execute(parse(self._text()))
         except LanguageError as error:
             detail = f"{error.sentence}\n{error.excerpt}"
-            self._refuse(
-                OperationError(
-                    400, "malformed command", detail, Outcome.NOT_RUN, error.place
-                ),
-                Reason.MALFORMED,
-            )
+            raise ProblemError(Reason.MALFORMED, detail, place=error.place) from error
         except OperationError as error:
-            self._refuse(error)
-        except BanyanwheelError as error:
-            self._refuse(
-                OperationError(503, "not executed", str(error), Outcome.UNKNOWN)
-            )
+            self.write_problem(error.problem)
         else:
             self._write_rows(reply)
 
-    def write_error(self, status_code, **kwargs):
-        """Answers an unforeseen fault as a problem document."""
-        detail = "the entry failed to execute the command"
-        self._refuse(OperationError(status_code, self._reason, detail, Outcome.UNKNOWN))
-
     def _text(self):
-        content_type = self.request.headers.get("Content-Type", "")
-        if content_type.partition(";")[0].strip().lower() != "text/plain":
-            detail = "a command is sent as text/plain"
-            raise OperationError(415, "wrong content type", detail, Outcome.NOT_RUN)
+        given = self.request.headers.get("Content-Type", "").partition(";")[0]
+        if given.strip().lower() != TEXT_TYPE:
+            detail = f"the content type is '{given}' and must be {TEXT_TYPE}"
+            raise ProblemError(Reason.WRONG_TYPE, detail, place="Content-Type")
+        self._check_size()
         try:
-            return self.request.body.decode()
+            return self._body.decode()
         except UnicodeDecodeError as error:
             detail = f"not UTF-8 at byte {error.start}"
-            raise OperationError(
-                400, "malformed command", detail, Outcome.NOT_RUN
-            ) from error
+            raise ProblemError(Reason.MALFORMED, detail) from error
 
     def _write_rows(self, reply):
         lines = list(reply.rows)
         if reply.silent:
             lines.append({"incomplete": reply.silent})
-        self.set_header("Content-Type", "application/x-ndjson")
+        self.set_header("Content-Type", ROWS_TYPE)
         self.finish(b"".join(msgspec.json.encode(line) + b"\n" for line in lines))
 
-    def _refuse(self, error, reason=None):
-        problem = {
-            "type": "about:blank",
-            "title": error.title,
-            "status": error.status,
-            "detail": error.detail,
-            "outcome": error.outcome,
-        }
-        if reason is not None:
-            problem["reason"] = reason
-        if error.place:
-            problem["place"] = error.place
-        self.set_status(error.status)
-        self.set_header("Content-Type", "application/problem+json")
-        self.finish(msgspec.json.encode(problem))
-
 
 def _result_text(answer):
     if answer.state is JobState.COMPLETE:
@@ -365,11 +337,14 @@
 
 def _conflict(winner, base):
     detail = f"made from offset {base}, but the version at offset {winner} came first"
-    return OperationError(409, "configuration conflict", detail, Outcome.NOT_RUN)
+    return OperationError(
+        HTTPStatus.CONFLICT, "configuration conflict", detail, Outcome.NOT_RUN
+    )
 
 
 def _not_published(verdict):
-    status = 400 if verdict.place else 503
+    rejected = verdict.outcome is Outcome.NOT_RUN and verdict.place
+    status = HTTPStatus.BAD_REQUEST if rejected else HTTPStatus.GATEWAY_TIMEOUT
     return OperationError(
         status, "not published", verdict.detail, verdict.outcome, verdict.place
     )
--- a/tests/client/fake_entry.py
+++ b/tests/client/fake_entry.py
@@ -56,8 +56,9 @@
     A fault of ``after`` applies once the job has run, one of ``before`` instead.
     """
 
-    def __init__(self, jobs, before=(), after=(), rows=()):
+    def __init__(self, jobs, ids=(), before=(), after=(), rows=()):
         self.jobs = jobs
+        self.ids = list(ids)
         self.before = list(before)
         self.after = list(after)
         self.rows = rows
@@ -102,7 +103,9 @@
 
 
 class _Ids(_Handler):
-    def post(self):
+    async def post(self):
+        if await self.misbehave(self.entry.ids):
+            return
         self.entry.jobs.issued += 1
         self.write({"ids": [JOB_ID.format(self.entry.jobs.issued)]})
 
--- a/tests/client/test_submit.py
+++ b/tests/client/test_submit.py
@@ -140,3 +140,11 @@
     assert main(arguments, env) is ExitStatus.USAGE
     assert words in env.stderr.getvalue()
     assert env.stderr.getvalue().count("\n") == 1
+
+
+def test_an_entry_without_ids_is_passed_over(tmp_path, entry, jobs):
+    fault = refusal("no-coordinator", "not-run", Retry_After="1")
+    status, _ = submit(tmp_path, entry(ids=[fault]).url, entry().url)
+    assert status is ExitStatus.OK
+    status, _ = submit(tmp_path, entry(ids=[fault]).url)
+    assert status is ExitStatus.REFUSED
