--- a/packages/daemon/banyanwheel_daemon/transport.py
+++ b/packages/daemon/banyanwheel_daemon/transport.py
@@ -29,6 +29,7 @@
 HANDSHAKE_TIMEOUT_MS = 2_000
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 5_000
+SWEEPS_PER_IDLE_TIME = 10
 SCHEME = "tcp://"
 
 
@@ -96,6 +97,7 @@
         self._routes = {}  # by Peer
         self._batches = {}  # by (Peer, address or None)
         self._draining = set()  # sockets with a drain already scheduled
+        self._next_sweep = 0.0  # monotonic seconds
         self.counts = Counts()
         self._zmq = zmq.Context(io_threads=1)
         self._router = self._open(zmq.ROUTER)
@@ -132,7 +134,13 @@
             self.counts.reopened += 1
 
     def close_idle(self, now, idle_seconds):
-        """Closes connections, and forgets ways back, unused for ``idle_seconds``."""
+        """Closes connections, and forgets ways back, unused for ``idle_seconds``.
+
+        May be called at every tick: it looks only a few times per ``idle_seconds``.
+        """
+        if now < self._next_sweep:
+            return
+        self._next_sweep = now + idle_seconds / SWEEPS_PER_IDLE_TIME
         oldest = now - idle_seconds
         for key, connection in list(self._connections.items()):
             if connection.used < oldest:
@@ -141,12 +149,17 @@
             if route.used < oldest:
                 del self._routes[peer]
 
-    def close(self):
-        """Closes every socket; messages not yet sent are dropped."""
+    def close(self, linger_ms=0):
+        """Closes every socket, and waits up to ``linger_ms`` for what is unsent.
+
+        The wait blocks the loop, so it's for a process that ends.
+        """
+        if linger_ms:
+            self._flush()
         self._batches.clear()
         for key in list(self._connections):
-            self._close_connection(key)
-        self._close_socket(self._router)
+            self._close_connection(key, linger_ms)
+        self._close_socket(self._router, linger_ms)
         self._zmq.term()
 
     def flush(self):
@@ -182,13 +195,13 @@
         self._connections[key] = connection
         return connection
 
-    def _close_connection(self, key):
-        self._close_socket(self._connections.pop(key).socket)
+    def _close_connection(self, key, linger_ms=0):
+        self._close_socket(self._connections.pop(key).socket, linger_ms)
 
-    def _close_socket(self, socket):
+    def _close_socket(self, socket, linger_ms=0):
         self._loop.remove_handler(socket.fd)
         self._draining.discard(socket)
-        socket.close()
+        socket.close(linger_ms)
 
     def _flush(self):
         batches, self._batches = self._batches, {}
--- a/tests/daemon/test_transport.py
+++ b/tests/daemon/test_transport.py
@@ -198,6 +198,17 @@
     run(scenario, GULF, REEF)
 
 
+def test_the_last_messages_of_a_process_that_ends_still_arrive():
+    async def scenario(gulf, reef):
+        last = Endpoint(Peer("gulf-2", "0000000000000003"))
+        for number in range(100):
+            last.send(reef, Ping(number))
+        last.transport.close(linger_ms=HANG_SECONDS * 1_000)
+        await reef.wait(lambda end: len(end.messages) == 100)
+
+    run(scenario, GULF, REEF)
+
+
 def test_an_address_that_is_taken_is_a_listen_error():
     async def scenario(gulf):
         with pytest.raises(ListenError, match=gulf.transport.address):
