Compare executors without a recent report by the slots asked of them

Cause: an executor that had not reported yet had one constant wait, however much was asked of it, so 16 of 20 tasks went to one worker of 4 slots; and a report of no free slots stayed in force for good. Reports now count for 0.5 s.

--- a/packages/core/banyanwheel_core/dispatcher.py
+++ b/packages/core/banyanwheel_core/dispatcher.py
@@ -153,8 +153,8 @@
         reservation = self._reservation(self.queue(flow), member)
         return {
             "worker": member.name,
-            "expected_ms": round(self._placement.expected_ms(flow, candidate)),
-            "free_slots": self._placement.free(member.name),
+            "expected_ms": round(self._placement.expected_ms(flow, candidate, now)),
+            "free_slots": self._placement.free(member.name, now),
             "asked": reservation.open,
             "why": self._left_out(reservation, needs, member, now),
         }
@@ -180,7 +180,7 @@
             chosen = self._placement.choose(queue.flow, candidates, now)
             if chosen is None:
                 return
-            share = self._placement.share(chosen.name, want, len(candidates))
+            share = self._placement.share(chosen.name, want, len(candidates), now)
             self._raise(queue.reservations[chosen.name], chosen.name, share)
             asked[chosen.name] = True
             want -= share
@@ -245,7 +245,7 @@
         target = self._free_candidate(queue, name, now)
         if target is None or not reservation.open:
             return []
-        moved = min(reservation.open, self._placement.free(target.name))
+        moved = min(reservation.open, self._placement.free(target.name, now))
         self._lower(reservation, name, moved)
         self._raise(queue.reservations[target.name], target.name, moved)
         return [
@@ -259,7 +259,7 @@
         free = [
             candidate
             for candidate in self._candidates(queue, queue.needs[0], now)
-            if candidate.name != name and self._placement.free(candidate.name)
+            if candidate.name != name and self._placement.free(candidate.name, now)
         ]
         return self._placement.choose(queue.flow, free, now)
 
--- a/packages/core/banyanwheel_core/placement.py
+++ b/packages/core/banyanwheel_core/placement.py
@@ -10,7 +10,8 @@
 __all__ = ["Candidate", "Placement"]
 
 SAMPLES = 4  # executors compared for one choice
-UNKNOWN_LOAD_MS = 20.0  # assumed wait at an executor that has reported nothing yet
+UNKNOWN_LOAD_MS = 2.0  # assumed wait at an executor that has not reported lately
+LOAD_VALID_SECONDS = 0.5  # a report older than this counts as none
 FAR_MS = 3.0  # added for another data centre
 LEARNING_RATE = 0.2  # weight of the newest value in the moving averages
 FAILURE_MARGIN = 0.5  # failure rate above the fleet's that ejects an executor
@@ -35,6 +36,7 @@
 
     free_slots: float | None = None
     queued_ms: float = 0.0
+    reported_at: float = 0.0
     run_ms: dict = field(default_factory=dict)
     failure_rate: float = 0.0
     outcomes: int = 0
@@ -43,15 +45,15 @@
     on_trial: bool = False
 
 
-def _least_expected(placement, flow, sample):
-    return min(sample, key=lambda candidate: placement.expected_ms(flow, candidate))
+def _least_expected(placement, flow, sample, now):
+    return min(sample, key=lambda c: placement.expected_ms(flow, c, now))
 
 
-def _least_reserved(placement, flow, sample):
+def _least_reserved(placement, flow, sample, now):
     return min(sample, key=lambda candidate: placement.reserved(candidate.name))
 
 
-def _first(placement, flow, sample):
+def _first(placement, flow, sample, now):
     return sample[0]
 
 
@@ -77,9 +79,10 @@
         """Slots that this sender has asked for at an executor and not seen freed."""
         return self._reserved.get(name, 0)
 
-    def loaded(self, name, load):
+    def loaded(self, name, load, now):
         """Takes in a load that an executor reported."""
         seen = self._seen.setdefault(name, _Seen())
+        seen.reported_at = now
         seen.free_slots = float(load.free_slots)
         seen.queued_ms = float(load.queued_ms)
 
@@ -112,21 +115,17 @@
         if seen.on_trial or self._is_outlier(seen):
             self._eject(seen, now)
 
-    def free(self, name):
+    def free(self, name, now):
         """Slots that an executor reported free and this sender has not asked for."""
         seen = self._seen.get(name)
-        if seen is None or seen.free_slots is None:
+        if not _has_report(seen, now):
             return 0
         return max(0, int(seen.free_slots) - self.reserved(name))
 
-    def has_free(self, name):
-        """Tells whether an executor is known to have a free slot."""
-        return self.free(name) > 0
-
-    def share(self, name, want, candidates):
+    def share(self, name, want, candidates, now):
         """Slots to ask of an executor at once, when ``want`` are wanted in all."""
         even = -(-want // max(1, 2 * candidates))
-        return min(want, max(even, self.free(name), 1))
+        return min(want, max(even, self.free(name, now), 1))
 
     def ejected(self, name, now):
         """Tells whether an executor is left out for failing more than its peers."""
@@ -143,22 +142,26 @@
             sample = self._random.sample(usable, len(usable))
         else:
             sample = self._random.sample(usable, self._samples)
-        return self._choose(self, flow, sample)
+        return self._choose(self, flow, sample, now)
 
-    def expected_ms(self, flow, candidate):
+    def expected_ms(self, flow, candidate, now):
         """Milliseconds until a task would be done at a candidate."""
-        seen = self._seen.get(candidate.name)
-        far = FAR_MS if candidate.data_centre != self._data_centre else 0.0
-        if seen is None or seen.free_slots is None:
-            return far + UNKNOWN_LOAD_MS + self.fleet_run_ms(flow)
+        seen = self._seen.get(candidate.name) or _Seen()
         run_ms = seen.run_ms.get((flow.service, flow.kind), self.fleet_run_ms(flow))
-        return far + run_ms + self._wait_ms(seen, candidate, run_ms)
-
-    def _wait_ms(self, seen, candidate, run_ms):
-        ahead = self.reserved(candidate.name) + 1 - seen.free_slots
-        if ahead <= 0:
+        far = FAR_MS if candidate.data_centre != self._data_centre else 0.0
+        return far + run_ms + self._wait_ms(seen, candidate, run_ms, now)
+
+    def _wait_ms(self, seen, candidate, run_ms, now):
+        """The wait by the last report; without one, the slots are taken as free."""
+        ahead = self.reserved(candidate.name) + 1
+        per_task_ms = run_ms / max(1, candidate.slots)
+        if not _has_report(seen, now):
+            beyond = max(0, ahead - candidate.slots)
+            return UNKNOWN_LOAD_MS + beyond * per_task_ms
+        beyond = max(0.0, ahead - seen.free_slots)
+        if not beyond:
             return 0.0
-        return seen.queued_ms + ahead * run_ms / max(1, candidate.slots)
+        return seen.queued_ms + beyond * per_task_ms
 
     def fleet_run_ms(self, flow):
         """Mean run time seen for this kind of work at all executors."""
@@ -189,3 +192,9 @@
     def _trial_taken(self, name):
         seen = self._seen.get(name)
         return seen is not None and seen.on_trial and self.reserved(name) > 0
+
+
+def _has_report(seen, now):
+    if seen is None or seen.free_slots is None:
+        return False
+    return now - seen.reported_at <= LOAD_VALID_SECONDS
--- a/packages/daemon/banyanwheel_daemon/agent.py
+++ b/packages/daemon/banyanwheel_daemon/agent.py
@@ -89,7 +89,7 @@
 
     def on_load(self, name, load):
         """Takes in the load that an executor sent along."""
-        self._placement.loaded(name, load)
+        self._placement.loaded(name, load, time.monotonic())
 
     def on_effect(self, effect):
         """Runs or stops a task on the backend server."""
@@ -101,7 +101,7 @@
 
     def on_tick(self, now):
         """Announces this agent when that is due."""
-        self._placement.loaded(self._identity.name, self._executor.load)
+        self._placement.loaded(self._identity.name, self._executor.load, now)
         if self._announcing:
             return
         record = self._record()
