--- a/packages/daemon/banyanwheel_daemon/agent.py
+++ b/packages/daemon/banyanwheel_daemon/agent.py
@@ -15,7 +15,9 @@
     HandoverTaken,
     InspectReply,
     InspectRequest,
+    JobAnswer,
     MemberRecord,
+    SubmitJob,
 )
 from banyanwheel_core.placement import Placement
 
@@ -23,7 +25,8 @@
 from .backend import BackendClient
 from .lifecycle import Lifecycle
 from .log_service import LogError
-from .node import Node
+from .logs import Branch, continue_job
+from .node import Node, serve
 from .web import WebServer
 
 __all__ = ["Agent", "run"]
@@ -58,6 +61,7 @@
         self._successor = ""
         self._handed_over = False
         self._lifecycle = Lifecycle()
+        self._actions = {}
         application = make_application(
             process.name,
             self._on_announcement,
@@ -126,8 +130,29 @@
         """Waits again for a peer that had been lost."""
         self._coordinator.peer_heard(name)
 
+    def _perform(self, effect):
+        match effect:
+            case Send(message=JobAnswer(answer=answer)):
+                self._log_answer(answer)
+        super()._perform(effect)
+
+    def _log_answer(self, answer):
+        action = self._actions.pop(answer.id, None)
+        if action is not None:
+            action.add_success_fields(
+                state=answer.state, outcome=answer.outcome, reason=answer.reason
+            )
+            action.finish()
+
     def _decide(self, sender, message, now):
         match message:
+            case SubmitJob(job_id=job_id, spec=spec) if job_id not in self._actions:
+                self._actions[job_id] = continue_job(
+                    job_id,
+                    Branch.COORDINATOR,
+                    self._identity.name,
+                    tasks=len(spec.tasks),
+                )
             case HandoverTaken():
                 self._handed_over = True
                 return []
@@ -182,7 +207,12 @@
         self.perform(self._executor.announced(announcement, time.monotonic()))
 
     async def _run(self, task):
-        result = await self._backend.run(task)
+        name = f"{self._identity.name}/{task.index}"
+        with continue_job(
+            task.job_id, Branch.EXECUTOR, name, task=task.index
+        ) as action:
+            result = await self._backend.run(task)
+            action.add_success_fields(outcome=result.outcome, run_ms=result.run_ms)
         self.perform(self._executor.finished(result, time.monotonic()))
 
     # Announcing.
@@ -274,8 +304,4 @@
 
 def run(settings, env):
     """Runs an agent until it is told to stop."""
-    asyncio.run(_run(settings, env))
-
-
-async def _run(settings, env):
-    await Agent(settings).main(env)
+    serve(Agent, settings, env)
--- a/packages/daemon/banyanwheel_daemon/entry.py
+++ b/packages/daemon/banyanwheel_daemon/entry.py
@@ -10,7 +10,8 @@
 
 from .desk import OperatorDesk
 from .lifecycle import Lifecycle
-from .node import Node
+from .logs import Branch, continue_job
+from .node import Node, serve
 from .operations import CommandsHandler, Operations
 from .problems import ProblemError
 from .web import WebServer, make_application
@@ -124,7 +125,12 @@
 
     async def submit(self, job_id, spec, fingerprint):
         """Returns the job's answer."""
-        return await self._ask(self._entry.submit, job_id, spec, fingerprint)
+        started = time.monotonic()
+        answer = await self._ask(self._entry.submit, job_id, spec, fingerprint)
+        if answer.id:
+            elapsed_ms = round((time.monotonic() - started) * 1_000)
+            self._log_answer(answer, elapsed_ms)
+        return answer
 
     async def query(self, job_id):
         """Returns the job's answer, or None while it is still running."""
@@ -135,6 +141,15 @@
         """Cancels the job and returns the answer that tells what came of it."""
         return await self._ask(self._entry.cancel, job_id)
 
+    def _log_answer(self, answer, elapsed_ms):
+        name = self._identity.name
+        with continue_job(
+            answer.id, Branch.ENTRY, name, elapsed_ms=elapsed_ms
+        ) as action:
+            action.add_success_fields(
+                state=answer.state, outcome=answer.outcome, reason=answer.reason
+            )
+
     async def _ask(self, question, *arguments):
         token = next(self._tokens)
         future = asyncio.get_running_loop().create_future()
@@ -148,8 +163,4 @@
 
 def run(settings, env):
     """Runs an entry until it is told to stop."""
-    asyncio.run(_run(settings, env))
-
-
-async def _run(settings, env):
-    await EntryNode(settings).main(env)
+    serve(EntryNode, settings, env)
--- a/packages/daemon/banyanwheel_daemon/node.py
+++ b/packages/daemon/banyanwheel_daemon/node.py
@@ -45,10 +45,11 @@
 from banyanwheel_core.policy import Policy
 
 from .log_service import Follower, LogService
+from .logs import JsonLines
 from .metrics import Metrics
 from .transport import Transport
 
-__all__ = ["Node"]
+__all__ = ["Node", "serve"]
 
 TICK_MS = 20
 IDLE_CONNECTION_SECONDS = 120.0
@@ -436,3 +437,17 @@
             if before is not None and before != member.incarnation:
                 self.perform(self._replaced(member.name, member.incarnation, now))
         self.on_members_changed()
+
+
+def serve(role, settings, env):
+    """Runs a node of the class ``role`` until it is told to stop."""
+    lines = JsonLines.from_settings(settings.logs, env.stdout)
+    lines.start()
+    try:
+        asyncio.run(_main(role, settings, env))
+    finally:
+        lines.stop()
+
+
+async def _main(role, settings, env):
+    await role(settings).main(env)
