--- a/packages/daemon/banyanwheel_daemon/backend.py
+++ b/packages/daemon/banyanwheel_daemon/backend.py
@@ -18,59 +18,25 @@
 from banyanwheel_core.messages import TaskResult
 from banyanwheel_core.models import Reason, TaskOutcome
 
-__all__ = ["BackendClient"]
+from .leases import LeaseKeeper, Renewal
+
+__all__ = ["BackendClient", "NumericResolver"]
 
 CONTROL_CONNECTIONS = 2  # kept free of tasks, for leases and stops
 CONNECT_TIMEOUT_SECONDS = 1.0
 MAX_ANSWER_BYTES = 1024 * 1024
 MAX_FAILURE_CHARACTERS = 2_000
 ALLOWANCE_MS = 1_000  # over a task's remaining time, for its answer to arrive
-RENEWALS_PER_LEASE = 3
 
 
-class _NumericResolver(Resolver):
+class NumericResolver(Resolver):
     """Resolves ``ip`` and port without a look-up, and so without a thread."""
 
     async def resolve(self, host, port, family=socket.AF_UNSPEC):
+        """Returns the address as it is."""
         return [(socket.AF_INET, (host, port))]
 
 
-class _Lease:
-    """A task's lease by this process's clock, at its shortest possible."""
-
-    def __init__(self, seconds, clock):
-        self._seconds = seconds
-        self._clock = clock
-        self._expires = None
-        self._lapsed = False
-
-    @property
-    def begun(self):
-        """Whether the first byte of the request was handed to the connection."""
-        return self._expires is not None
-
-    @property
-    def lapsed(self):
-        """Whether the backend server may have let the lease go."""
-        expired = self.begun and self._clock() >= self._expires
-        return self._lapsed or expired
-
-    @property
-    def remaining(self):
-        """Seconds until the lease lapses; a lease that hasn't begun lasts."""
-        if not self.begun:
-            return self._seconds
-        return max(0.0, self._expires - self._clock())
-
-    def extend(self, since):
-        """Starts or renews the lease, counted from ``since``."""
-        self._expires = since + self._seconds
-
-    def lapse(self):
-        """Notes that the backend server let the lease go."""
-        self._lapsed = True
-
-
 class BackendClient:
     """Runs tasks on one backend server at ``address`` (``ip:port``)."""
 
@@ -89,9 +55,11 @@
         self._allowance_ms = allowance_ms
         self._connect_timeout = connect_timeout
         self._clock = clock
+        self._closed = False
         self._capacity = max(1, connections - CONTROL_CONNECTIONS)
         self._tasks_client = self._open(self._capacity)
         self._control_client = self._open(CONTROL_CONNECTIONS)
+        self._leases = LeaseKeeper(lease_ms / 1000, self._renew, clock)
 
     @classmethod
     def from_announcement(cls, announcement, *, lease_ms, **options):
@@ -115,16 +83,18 @@
 
     async def run(self, task):
         """Sends a task once; returns a TaskResult and raises nothing."""
-        lease = _Lease(self._lease_ms / 1000, self._clock)
+        if self._closed:
+            return _not_started(task, Reason.STOPPING)
+        ended = asyncio.get_running_loop().create_future()
+        lease = self._leases.hold(task, lambda: _end(ended))
         started = self._clock()
-        fetch = asyncio.ensure_future(self._post(task, lease))
-        renewals = asyncio.ensure_future(self._keep_lease(task, lease))
         try:
-            await asyncio.wait({fetch, renewals}, return_when=asyncio.FIRST_COMPLETED)
+            fetch = self._post(task, lease)
+            fetch.add_done_callback(lambda fetch: _end(ended, fetch))
+            await ended
             result = self._result(task, lease, fetch)
         finally:
-            renewals.cancel()
-            fetch.add_done_callback(_consume)
+            self._leases.release(lease)
         run_ms = round((self._clock() - started) * 1000)
         return msgspec.structs.replace(result, run_ms=run_ms)
 
@@ -138,13 +108,13 @@
 
     def close(self):
         """Starts no further task; those running keep their leases."""
-        self._tasks_client.close()
+        self._closed = True
 
     def _open(self, connections):
         return SimpleAsyncHTTPClient(
             force_instance=True,
             max_clients=connections,
-            resolver=_NumericResolver(),
+            resolver=NumericResolver(),
             max_body_size=MAX_ANSWER_BYTES,
             max_buffer_size=MAX_ANSWER_BYTES + 65_536,
         )
@@ -160,12 +130,13 @@
             **options,
         )
 
-    async def _post(self, task, lease):
+    def _post(self, task, lease):
+        """Returns the future of the one request that carries the task."""
         payload = bytes(task.task)
 
-        async def produce(write):
+        def produce(write):
             lease.extend(self._clock())
-            await write(payload)
+            return write(payload)
 
         headers = {
             "Content-Type": "application/json",
@@ -176,11 +147,11 @@
         request = self._request(
             "POST",
             f"/tasks/{task.job_id}/{task.index}",
-            (task.remaining_ms + self._allowance_ms) / 1000,
+            (max(0, task.remaining_ms) + self._allowance_ms) / 1000,
             headers=headers,
             body_producer=produce,
         )
-        return await self._tasks_client.fetch(request, raise_error=False)
+        return self._tasks_client.fetch(request, raise_error=False)
 
     def _result(self, task, lease, fetch):
         if lease.lapsed or not fetch.done():
@@ -201,18 +172,7 @@
             return _unknown(task, Reason.OUTCOME_UNKNOWN)
         return _not_started(task, Reason.CONNECT_FAILED)
 
-    async def _keep_lease(self, task, lease):
-        """Renews a task's lease; returns once it has lapsed."""
-        interval = self._lease_ms / 1000 / RENEWALS_PER_LEASE
-        due = self._clock()
-        while not lease.lapsed:
-            due += interval
-            await asyncio.sleep(min(due - self._clock(), lease.remaining))
-            if lease.begun and not lease.lapsed:
-                await self._renew(task, lease, interval)
-
-    async def _renew(self, task, lease, timeout):
-        since = self._clock()
+    async def _renew(self, task, timeout):
         request = self._request(
             "PUT",
             f"/tasks/{task.job_id}/{task.index}/lease",
@@ -224,11 +184,18 @@
             response = await self._control_client.fetch(request, raise_error=False)
         except (OSError, HTTPClientError) as error:
             log_message("backend:renewal-failed", job=task.job_id, fault=str(error))
-            return
+            return Renewal.UNANSWERED
         if response.code == HTTPStatus.GONE:
-            lease.lapse()
-        elif response.code < 300 and not lease.lapsed:
-            lease.extend(since)
+            return Renewal.GONE
+        return Renewal.RENEWED if response.code < 300 else Renewal.UNANSWERED
+
+
+def _end(ended, fetch=None):
+    """Wakes a waiting run; takes up a late failure, which asyncio would log."""
+    if not ended.done():
+        ended.set_result(None)
+    if fetch is not None and not fetch.cancelled():
+        fetch.exception()
 
 
 def _judge(task, response):
@@ -279,9 +246,3 @@
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return False
     return True
-
-
-def _consume(future):
-    """Takes up a late failure, which asyncio would log as never retrieved."""
-    if not future.cancelled():
-        future.exception()
--- a/packages/daemon/banyanwheel_daemon/transport.py
+++ b/packages/daemon/banyanwheel_daemon/transport.py
@@ -152,8 +152,11 @@
     def close(self, linger_ms=0):
         """Closes every socket, and waits up to ``linger_ms`` for what is unsent.
 
-        The wait blocks the loop, so it's for a process that ends.
+        The wait blocks the loop, so it's for a process that ends. What is sent after
+        is dropped.
         """
+        if self._router.closed:
+            return
         if linger_ms:
             self._flush()
         self._batches.clear()
@@ -205,6 +208,8 @@
 
     def _flush(self):
         batches, self._batches = self._batches, {}
+        if self._router.closed:
+            return
         sockets = {}
         for (peer, address), batch in batches.items():
             socket = self._send_batch(peer, address, batch)
--- a/tests/daemon/test_backend.py
+++ b/tests/daemon/test_backend.py
@@ -225,6 +225,24 @@
     asyncio.run(main())
 
 
+def test_a_closed_client_starts_nothing_and_finishes_what_runs():
+    async def scenario(server, client):
+        async def wait(handler):
+            await server.released.wait()
+            handler.finish(b"7")
+
+        server.answer = wait
+        running = asyncio.ensure_future(client.run(TASK))
+        await server.arrived.wait()
+        client.close()
+        assert (await client.run(TASK)).outcome is TaskOutcome.NOT_STARTED
+        server.released.set()
+        assert (await running).outcome is TaskOutcome.DONE
+        assert server.count("POST") == 1
+
+    run(scenario)
+
+
 def test_silence_after_the_request_means_unknown():
     async def scenario(server, client):
         async def wait(handler):
@@ -271,12 +289,15 @@
     run(scenario, lease_ms=60)
 
 
-def test_an_answer_after_a_pause_longer_than_the_lease_means_unknown():
+@pytest.mark.parametrize("answers", [True, False])
+def test_a_pause_longer_than_the_lease_means_unknown(answers):
     clock = Clock()
 
     async def scenario(server, client):
-        def answer(handler):
-            clock.now += LONG_LEASE_MS / 1000  # the agent slept, the answer waited
+        async def answer(handler):
+            clock.now += 0.6  # the agent slept
+            if not answers:
+                await server.released.wait()
             handler.finish(b"7")
 
         server.answer = answer
@@ -284,7 +305,7 @@
         assert result.outcome is TaskOutcome.UNKNOWN
         assert result.reason is Reason.LEASE_LAPSED
 
-    run(scenario, clock=clock)
+    run(scenario, lease_ms=600, clock=clock)
 
 
 def test_a_task_is_stopped_by_its_name():
--- a/tests/daemon/test_transport.py
+++ b/tests/daemon/test_transport.py
@@ -160,6 +160,23 @@
     run(scenario, GULF, REEF)
 
 
+def test_a_peer_that_restarted_tells_its_new_incarnation():
+    async def scenario(gulf, reef):
+        gulf.send(reef, Ping(1))
+        await reef.wait(lambda end: end.messages)
+        address = reef.transport.address
+        reef.transport.close()
+        received = []
+        restarted = Transport(REEF.name, "00000000000000ff", address, received.append)
+        gulf.transport.send(REEF, address, Ping(2), configuration=0)
+        await gulf.wait(lambda end: end.messages)
+        restarted.close()
+        assert gulf.messages == [Misaddressed("00000000000000ff")]
+        assert received == []
+
+    run(scenario, GULF, REEF)
+
+
 def test_a_batch_above_the_size_limit_is_split(monkeypatch):
     monkeypatch.setattr(transport_module, "MAX_ENVELOPE_BYTES", 1_000)
     tasks = [
--- a/tests/daemon/test_web.py
+++ b/tests/daemon/test_web.py
@@ -363,6 +363,28 @@
     serve(desk, scenario)
 
 
+def test_a_caller_that_hangs_up_is_not_waited_for():
+    desk = SlowDesk()
+
+    async def scenario(server, address):
+        host, port = address.split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        body = msgspec.json.encode(SPEC)
+        head = (
+            "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        writer.write(head.encode() + body)
+        await desk.asked.wait()
+        writer.close()
+        while server.in_progress:
+            await asyncio.sleep(0.001)
+        desk.go_on.set()
+        await asyncio.sleep(0)
+
+    serve(desk, scenario)
+
+
 def test_the_page_on_interfaces_states_each_reason_with_its_status():
     page = (Path(__file__).parents[2] / "docs" / "INTERFACE.md").read_text()
     rows = re.findall(r"^\| `([a-z-]+)` \| (\d{3}) \|", page, re.MULTILINE)
