--- a/packages/daemon/banyanwheel_daemon/log_service.py
+++ b/packages/daemon/banyanwheel_daemon/log_service.py
@@ -13,6 +13,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
 from banyanwheel_core.errors import BanyanwheelError
+from banyanwheel_core.streams import Page, Record
 
 __all__ = [
     "AppendUncertain",
@@ -55,25 +56,6 @@
     """An append was sent and its answer lost; it may have taken effect."""
 
 
-class Record(msgspec.Struct, frozen=True):
-    """One record of a stream; ``age_ms`` is its age when the page was made."""
-
-    offset: int
-    age_ms: int
-    data: msgspec.Raw
-
-
-class Page(msgspec.Struct, frozen=True):
-    """Records in order of offset.
-
-    ``first`` is the oldest offset still kept, ``next`` where to read on.
-    """
-
-    first: int
-    next: int
-    records: tuple[Record, ...]
-
-
 class _Appended(msgspec.Struct, frozen=True):
     offset: int
 
@@ -158,12 +140,17 @@
         self._random = random
         self._failures = 0
         self._stream = stream
+        self._rewound = None
 
     @property
     def next(self):
         """The offset that is read next."""
         return self._next
 
+    def rewind(self, offset):
+        """Reads on from ``offset`` after the read in progress."""
+        self._rewound = offset
+
     async def follow(self, on_page, on_lost):
         """Reads until cancelled; pauses grow while the log does not answer."""
         while True:
@@ -179,6 +166,8 @@
             self._failures = 0
             self._next = page.next
             on_page(page)
+            if self._rewound is not None:
+                self._next, self._rewound = self._rewound, None
             if not page.records:
                 await asyncio.sleep(self._rest(started))
 
