--- a/packages/core/banyanwheel_core/language/builder.py
+++ b/packages/core/banyanwheel_core/language/builder.py
@@ -35,6 +35,7 @@
 
 __all__ = ["CommandBuilder"]
 
+MAX_NESTING = 100  # levels of arrays and objects in a JSON value
 UNITS_MS = {"ms": 1, "s": 1_000, "m": 60_000, "h": 3_600_000}
 
 
@@ -143,11 +144,23 @@
 
     def _decode(self, token, kind):
         try:
+            self._check_nesting(token)
             return msgspec.json.decode(str(token), type=kind)
         except msgspec.MsgspecError as error:
             raise self._error(str(error), token) from error
         except RecursionError as error:
-            raise self._error("the JSON nests too deeply", token) from error
+            raise self._too_deep(token) from error
+
+    def _check_nesting(self, token):
+        level = _containers([msgspec.json.decode(str(token))])
+        for _ in range(MAX_NESTING):
+            level = [part for value in level for part in _containers_in(value)]
+        if level:
+            raise self._too_deep(token)
+
+    def _too_deep(self, token):
+        message = f"the JSON nests more than {MAX_NESTING} levels deep"
+        return self._error(message, token)
 
     def _table(self, token):
         if token not in set(Table):
@@ -182,3 +195,11 @@
 
     def _error(self, message, token, expected=()):
         return LanguageError(message, self._text, token.line, token.column, expected)
+
+
+def _containers_in(value):
+    return _containers(value.values() if isinstance(value, dict) else value)
+
+
+def _containers(values):
+    return [value for value in values if isinstance(value, dict | list)]
--- a/tests/client/test_submit.py
+++ b/tests/client/test_submit.py
@@ -148,3 +148,13 @@
     assert status is ExitStatus.OK
     status, _ = submit(tmp_path, entry(ids=[fault]).url)
     assert status is ExitStatus.REFUSED
+
+
+def test_a_balancer_that_lost_its_entry_is_asked_again(tmp_path, entry, jobs):
+    def bad_gateway(handler):
+        handler.send_error(502)
+
+    url = entry(ids=[bad_gateway], after=[bad_gateway]).url
+    status, _ = submit(tmp_path, url)
+    assert status is ExitStatus.OK
+    assert list(jobs.bodies) == jobs.puts[:1] == jobs.puts[1:]
--- a/tests/core/language/test_language.py
+++ b/tests/core/language/test_language.py
@@ -120,7 +120,8 @@
         ('submit {"service": 1}', "1:8", "$.service"),
         ("reconfigure {]}", "1:13", "malformed"),
         ("reconfigure {} from x", "1:21", "a whole number"),
-        ("reconfigure " + '{"a":' * 9999 + "1" + "}" * 9999, "1:13", "too deeply"),
+        ("reconfigure " + '{"a":' * 9999 + "1" + "}" * 9999, "1:13", "levels deep"),
+        ("reconfigure " + '{"a":' * 101 + "1" + "}" * 101, "1:13", "levels deep"),
         ("show jobs " + " " * 9000, "1:8193", "at most 8192 characters"),
         ("show jobs where " + "not " * 101 + "kind = x", "1:1", "at most 100"),
         ("show \ud800", "1:1", "UTF-8"),
@@ -139,6 +140,7 @@
 
 
 def test_deep_nesting_is_read():
+    parse("reconfigure " + '{"a":' * 100 + "1" + "}" * 100)
     assert where("(" * 2000 + "kind = x" + ")" * 2000) == where("kind = x")
 
 
