--- a/packages/daemon/banyanwheel_daemon/transport.py
+++ b/packages/daemon/banyanwheel_daemon/transport.py
@@ -17,6 +17,7 @@
 from tornado.ioloop import IOLoop
 
 from banyanwheel_core.effects import Peer
+from banyanwheel_core.errors import ListenError
 from banyanwheel_core.messages import Envelope, Misaddressed
 
 __all__ = ["Counts", "Transport"]
@@ -28,6 +29,7 @@
 HANDSHAKE_TIMEOUT_MS = 2_000
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 5_000
+SWEEPS_PER_IDLE_TIME = 10
 SCHEME = "tcp://"
 
 
@@ -95,10 +97,11 @@
         self._routes = {}  # by Peer
         self._batches = {}  # by (Peer, address or None)
         self._draining = set()  # sockets with a drain already scheduled
+        self._next_sweep = 0.0  # monotonic seconds
         self.counts = Counts()
         self._zmq = zmq.Context(io_threads=1)
         self._router = self._open(zmq.ROUTER)
-        self._router.bind(SCHEME + bind_address)
+        self._bind(bind_address)
 
     @property
     def address(self):
@@ -131,7 +134,13 @@
             self.counts.reopened += 1
 
     def close_idle(self, now, idle_seconds):
-        """Closes connections, and forgets ways back, unused for ``idle_seconds``."""
+        """Closes connections, and forgets ways back, unused for ``idle_seconds``.
+
+        May be called at every tick: it looks only a few times per ``idle_seconds``.
+        """
+        if now < self._next_sweep:
+            return
+        self._next_sweep = now + idle_seconds / SWEEPS_PER_IDLE_TIME
         oldest = now - idle_seconds
         for key, connection in list(self._connections.items()):
             if connection.used < oldest:
@@ -140,18 +149,30 @@
             if route.used < oldest:
                 del self._routes[peer]
 
-    def close(self):
-        """Closes every socket; messages not yet sent are dropped."""
+    def close(self, linger_ms=0):
+        """Closes every socket, and waits up to ``linger_ms`` for what is unsent.
+
+        The wait blocks the loop, so it's for a process that ends.
+        """
+        if linger_ms:
+            self._flush()
         self._batches.clear()
         for key in list(self._connections):
-            self._close_connection(key)
-        self._close_socket(self._router)
+            self._close_connection(key, linger_ms)
+        self._close_socket(self._router, linger_ms)
         self._zmq.term()
 
     def flush(self):
         """Sends what is queued now, without waiting for the end of the turn."""
         self._flush()
 
+    def _bind(self, address):
+        try:
+            self._router.bind(SCHEME + address)
+        except zmq.ZMQError as error:
+            self.close()
+            raise ListenError(f"{address}: {error.strerror}") from error
+
     def _open(self, kind):
         socket = self._zmq.socket(kind)
         socket.linger = 0
@@ -174,13 +195,13 @@
         self._connections[key] = connection
         return connection
 
-    def _close_connection(self, key):
-        self._close_socket(self._connections.pop(key).socket)
+    def _close_connection(self, key, linger_ms=0):
+        self._close_socket(self._connections.pop(key).socket, linger_ms)
 
-    def _close_socket(self, socket):
+    def _close_socket(self, socket, linger_ms=0):
         self._loop.remove_handler(socket.fd)
         self._draining.discard(socket)
-        socket.close()
+        socket.close(linger_ms)
 
     def _flush(self):
         batches, self._batches = self._batches, {}
