--- a/packages/client/banyanwheel_client/errors.py
+++ b/packages/client/banyanwheel_client/errors.py
@@ -1,5 +1,7 @@
 """Errors of the client, each with the exit status that it leads to."""
 
+from http import HTTPStatus
+
 from banyanwheel_core.errors import BanyanwheelError
 from banyanwheel_core.models import Outcome, Reason
 
@@ -19,7 +21,10 @@
     "error_from_problem",
 ]
 
-STATUSES_OF_LOST_JOBS = frozenset({404, 410})  # no job, or one no longer known
+CONFLICT_REASONS = frozenset({Reason.ID_CONFLICT, ""})  # none: of a configuration
+STATUSES_OF_LOST_JOBS = frozenset(
+    {HTTPStatus.NOT_FOUND, HTTPStatus.GONE}
+)  # no job, or one no longer known
 
 
 class ClientError(BanyanwheelError):
@@ -86,7 +91,7 @@
 
 def error_from_problem(problem):
     """Returns the error that stands for ``problem``."""
-    if problem.reason == Reason.ID_CONFLICT or problem.status == 409:
+    if problem.reason in CONFLICT_REASONS and problem.status == HTTPStatus.CONFLICT:
         return ConflictError(problem)
     match problem.outcome:
         case Outcome.NOT_RUN:
--- a/packages/client/banyanwheel_client/output.py
+++ b/packages/client/banyanwheel_client/output.py
@@ -1,6 +1,7 @@
 """Prints answers and rows: tables for people, JSON lines for programs."""
 
 import msgspec
+from rich.box import SIMPLE_HEAD
 from rich.console import Console
 from rich.table import Table
 from rich.text import Text
@@ -48,7 +49,9 @@
 
 def _table(rows):
     columns = list(dict.fromkeys(name for row in rows for name in row))
-    table = Table(*columns)
+    table = Table(box=SIMPLE_HEAD, pad_edge=False)
+    for name in columns:
+        table.add_column(name, overflow="fold")
     for row in rows:
         table.add_row(*(Text(_cell(row.get(name))) for name in columns))
     return table
--- a/packages/daemon/banyanwheel_daemon/operations.py
+++ b/packages/daemon/banyanwheel_daemon/operations.py
@@ -9,6 +9,7 @@
 
 from banyanwheel_core.errors import BanyanwheelError
 from banyanwheel_core.language import (
+    COLUMNS,
     CancelJob,
     CancelJobs,
     Drain,
@@ -179,7 +180,9 @@
             inspection = Inspection(_flow_rows(jobs.rows), jobs.silent)
         else:
             inspection = await self._desk.inspect(show.table)
-        return Reply(tuple(select(show, inspection.rows)), inspection.silent)
+        chosen = select(show, inspection.rows)
+        rows = tuple(_in_column_order(show.table, row) for row in chosen)
+        return Reply(rows, inspection.silent)
 
     async def _cancel_jobs(self, where):
         inspection = await self._desk.inspect(Table.JOBS)
@@ -307,6 +310,11 @@
     return {"kind": str(kind), "name": name, "result": result, "offset": offset}
 
 
+def _in_column_order(table, row):
+    names = [column.name for column in COLUMNS[table] if column.name in row]
+    return {name: row[name] for name in names} | row
+
+
 def _flow_rows(jobs):
     flows = {}
     for job in jobs:
--- a/tests/client/test_submit.py
+++ b/tests/client/test_submit.py
@@ -63,6 +63,8 @@
         ("task-failed", "ran", 500, ExitStatus.FAILED),
         ("coordinator-gone", "unknown", 503, ExitStatus.UNKNOWN),
         ("id-conflict", "not-run", 409, ExitStatus.CONFLICT),
+        ("cancelled", "not-run", 409, ExitStatus.REFUSED),
+        ("cancelled", "unknown", 409, ExitStatus.UNKNOWN),
         ("expired-id", "", 410, ExitStatus.UNKNOWN),
     ],
 )
--- a/tests/daemon/test_operations.py
+++ b/tests/daemon/test_operations.py
@@ -41,7 +41,7 @@
 def job_row(job_id, kind="price"):
     flow = {"service": "counter", "subsidiary": "south", "kind": kind}
     counts = {"waiting": 2, "running": 1}
-    return {"job": job_id, "coordinator": "gulf-1", **flow, **counts}
+    return {"extra": 1, "coordinator": "gulf-1", **counts, **flow, "job": job_id}
 
 
 class FakeDesk:
@@ -99,6 +99,12 @@
     assert reply.silent == ("gulf-2",)
 
 
+def test_cells_come_in_the_order_of_the_table_s_columns():
+    (row,) = execute(FakeDesk(), "show jobs where kind = other").rows
+    assert [*row][:3] == ["job", "service", "subsidiary"]
+    assert [*row][-1] == "extra"
+
+
 def test_flows_are_summed_over_jobs():
     (row,) = execute(FakeDesk(), "show flows where kind = price").rows
     assert (row["jobs"], row["waiting"], row["running"]) == (6, 12, 6)
