Check a configuration before it is published, and read it from TOML too

reconfigure takes a TOML file, tells all faults of a document together, and names the base -1 for the first version; racks may be named data-centre/rack; a table wider than the terminal keeps its cells whole.

--- a/packages/client/banyanwheel_client/cli/app.py
+++ b/packages/client/banyanwheel_client/cli/app.py
@@ -5,6 +5,7 @@
 import msgspec
 import typer
 
+from banyanwheel_core.documents import Document
 from banyanwheel_core.language import Reconfigure, Submit, parse
 from banyanwheel_core.models import JobSpec
 
@@ -86,15 +87,14 @@
         int | None,
         typer.Option(
             "--from",
-            min=0,
+            min=-1,
             metavar="OFFSET",
-            help="The version that it was made from; else the one in force.",
+            help="The version it was made from, -1 for none; else the one in force.",
         ),
     ] = None,
 ):
-    """Publish a configuration."""
-    document = _read_json(run.environment, file, dict)
-    return run.execute(Reconfigure(document, base))
+    """Publish a configuration: TOML where the name ends in .toml, else JSON."""
+    return run.execute(Reconfigure(_read_configuration(run.environment, file), base))
 
 
 @app.command()
@@ -116,6 +116,17 @@
         raise UsageError(f"{file}: {error}") from error
 
 
+def _read_configuration(environment, file):
+    """Returns the plain document of a file whose every fault would be told."""
+    data = _read(environment, file)
+    text = data if isinstance(data, str) else data.decode(errors="replace")
+    if file.endswith(".toml"):
+        document = Document.from_toml(text, file)
+    else:
+        document = Document.from_json(text.encode(), file)
+    return msgspec.json.decode(document.to_json())
+
+
 def _read(environment, file):
     if file == "-":
         return environment.stdin.read()
--- a/packages/client/banyanwheel_client/output.py
+++ b/packages/client/banyanwheel_client/output.py
@@ -3,6 +3,7 @@
 import msgspec
 from rich.box import SIMPLE_HEAD
 from rich.console import Console
+from rich.measure import Measurement
 from rich.table import Table
 from rich.text import Text
 
@@ -10,6 +11,8 @@
 
 __all__ = ["Printer"]
 
+MAX_TABLE_WIDTH = 100_000  # columns
+
 
 class Printer:
     """Writes to the environment's streams."""
@@ -30,8 +33,15 @@
             for row in rows:
                 self.document(row)
             return
+        if not rows:
+            print("no rows", file=self._stdout)
+            return
         console = Console(file=self._stdout)
-        console.print(_table(rows) if rows else "no rows")
+        table = _table(rows)
+        # Wider than the terminal, a table is left whole: cells cut short mislead.
+        unbounded = console.options.update(max_width=MAX_TABLE_WIDTH)
+        console.width = Measurement.get(console, unbounded, table).maximum
+        console.print(table)
 
     def incomplete(self, members):
         """Warns that some members did not answer."""
@@ -49,9 +59,7 @@
 
 def _table(rows):
     columns = list(dict.fromkeys(name for row in rows for name in row))
-    table = Table(box=SIMPLE_HEAD, pad_edge=False)
-    for name in columns:
-        table.add_column(name, overflow="fold")
+    table = Table(*columns, box=SIMPLE_HEAD, pad_edge=False)
     for row in rows:
         table.add_row(*(Text(_cell(row.get(name))) for name in columns))
     return table
--- a/packages/core/banyanwheel_core/language/builder.py
+++ b/packages/core/banyanwheel_core/language/builder.py
@@ -79,16 +79,19 @@
 
     def drain(self, kind, word):
         """``drain KIND NAME``."""
-        return Drain(kind, self._name(word))
+        return Drain(kind, self._name(kind, word))
 
     def undrain(self, kind, word):
         """``undrain KIND NAME``."""
-        return Undrain(kind, self._name(word))
+        return Undrain(kind, self._name(kind, word))
 
     def reconfigure(self, document, base):
         """``reconfigure JSON [from OFFSET]``."""
-        offset = None if base is None else int(base)
-        return Reconfigure(self._decode(document, dict), offset)
+        return Reconfigure(self._decode(document, dict), base)
+
+    def base(self, token):
+        """``from OFFSET``, or ``from -1``."""
+        return int(token)
 
     def place(self, token):
         """``worker``, ``rack`` or ``data-centre``."""
@@ -175,8 +178,9 @@
         except InvalidIdError as error:
             raise self._error(str(error), token) from error
 
-    def _name(self, token):
-        if re.fullmatch(NAME_PATTERN, token) is None:
+    def _name(self, kind, token):
+        names = token.split("/", 1) if kind is DrainKind.RACK else [token]
+        if any(re.fullmatch(NAME_PATTERN, name) is None for name in names):
             raise self._error("a name is lower-case letters, digits and -", token)
         return str(token)
 
--- a/packages/core/banyanwheel_core/language/commands.py
+++ b/packages/core/banyanwheel_core/language/commands.py
@@ -171,7 +171,8 @@
 class Reconfigure:
     """Publishes a configuration made from the version at the offset ``base``.
 
-    ``base`` is None for the version in force where the command is executed.
+    ``base`` is None for the version in force where the command is executed, and -1
+    where there is to be none before.
     """
 
     document: dict[str, Any]
--- a/packages/daemon/banyanwheel_daemon/operations.py
+++ b/packages/daemon/banyanwheel_daemon/operations.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from banyanwheel_core.errors import BanyanwheelError
+from banyanwheel_core.documents import Document
+from banyanwheel_core.errors import BanyanwheelError, FindingsError
 from banyanwheel_core.language import (
     COLUMNS,
     CancelJob,
@@ -150,7 +151,7 @@
         """Executes a command.
 
         Raises OperationError where it failed, LanguageError where a filter does not
-        fit the rows.
+        fit the rows, FindingsError with every fault of a configuration.
         """
         match command:
             case Show():
@@ -228,6 +229,7 @@
     async def _reconfigure(self, document, base):
         if base is None:
             base, _ = self._desk.configuration()
+        Document.from_json(msgspec.json.encode(document))
         verdict = await self._desk.publish(document, base)
         match verdict:
             case Published(offset):
@@ -254,6 +256,8 @@
         except LanguageError as error:
             detail = f"{error.sentence}\n{error.excerpt}"
             raise ProblemError(Reason.MALFORMED, detail, place=error.place) from error
+        except FindingsError as error:
+            raise ProblemError.from_findings(error.findings) from error
         except OperationError as error:
             self.write_problem(error.problem)
         else:
--- a/tests/client/test_commands.py
+++ b/tests/client/test_commands.py
@@ -8,6 +8,7 @@
 
 from banyanwheel_client.__main__ import main
 from banyanwheel_client.status import ExitStatus
+from banyanwheel_core.language import parse
 from tests.client.fake_entry import (
     JOB,
     JOB_ID,
@@ -18,7 +19,11 @@
     refusal,
 )
 
-ROWS = ('{"worker": "gulf-1", "slots": 8}', '{"worker": "gulf-2", "state": "[x]"}')
+ROWS = (
+    '{"worker": "gulf-1", "slots": 8}',
+    '{"why": "' + "y" * 200 + '"}',
+    '{"worker": "gulf-2", "state": "[x]"}',
+)
 PROGRAM = f"""
 import sys
 sys.path[:0] = {sys.path!r}
@@ -39,11 +44,10 @@
         (["cancel", "jobs", "where", "kind=price"], 'cancel jobs where kind = "price"'),
         (["drain", "rack", "r-1"], "drain rack r-1"),
         (["undrain", "data-centre", "cairns"], "undrain data-centre cairns"),
-        (["reconfigure", "-", "--from", "7"], 'reconfigure {"a":1} from 7'),
     ],
 )
 def test_subcommands_send_the_language(tmp_path, entry, jobs, arguments, text):
-    env = environment(tmp_path, stdin='{"a": 1}')
+    env = environment(tmp_path)
     status = main([*arguments, "--entry", entry(rows=ROWS).url], env)
     assert status is ExitStatus.OK
     assert jobs.commands == [text]
@@ -52,10 +56,39 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ("name", "text"),
+    [
+        ("new.toml", "[limits]\nmax_tasks = 5\n"),
+        ("new.json", '{"limits": {"max_tasks": 5}}'),
+    ],
+)
+def test_a_configuration_file_is_published(tmp_path, entry, jobs, name, text):
+    path = tmp_path / name
+    path.write_text(text)
+    env = environment(tmp_path)
+    arguments = ["reconfigure", str(path), "--from", "-1", "--entry", entry().url]
+    assert main(arguments, env) is ExitStatus.OK
+    command = parse(jobs.commands[0])
+    assert (command.base, command.document["limits"]["max_tasks"]) == (-1, 5)
+
+
+def test_all_faults_of_a_configuration_file_are_told_with_their_lines(tmp_path, entry):
+    path = tmp_path / "new.toml"
+    path.write_text("[limits]\nmax_tasks = 0\n\n[drains]\nwokers = []\n")
+    env = environment(tmp_path)
+    arguments = ["reconfigure", str(path), "--entry", entry().url]
+    assert main(arguments, env) is ExitStatus.USAGE
+    assert f"{path}:2" in env.stderr.getvalue()
+    assert f"{path}:5" in env.stderr.getvalue()
+
+
 def test_a_person_sees_a_table(tmp_path, entry):
     env = environment(tmp_path, terminal=True)
     assert main(["show", "workers", "--entry", entry(rows=ROWS).url], env) == 0
-    assert all(word in env.stdout.getvalue() for word in ("worker", "gulf-2", "[x]"))
+    assert all(
+        word in env.stdout.getvalue() for word in ("worker", "gulf-2", "[x]", "y" * 200)
+    )
 
 
 def test_members_that_did_not_answer_are_named(tmp_path, entry):
--- a/tests/core/language/strategies.py
+++ b/tests/core/language/strategies.py
@@ -90,6 +90,7 @@
     names,
     st.lists(st.builds(TaskSpec, json_values), min_size=1, max_size=3).map(tuple),
 )
+racks = st.tuples(names, names).map("/".join)
 kinds = st.sampled_from(DrainKind)
 commands = st.one_of(
     st.sampled_from(Table).flatmap(shows),
@@ -99,7 +100,8 @@
     st.builds(CancelJobs, filters(Table.JOBS)),
     st.builds(Drain, kinds, names),
     st.builds(Undrain, kinds, names),
-    st.builds(Reconfigure, documents, st.none() | whole_numbers),
+    st.builds(Drain, st.just(DrainKind.RACK), racks),
+    st.builds(Reconfigure, documents, st.none() | st.just(-1) | whole_numbers),
 )
 WORDS = (
     "show jobs tasks where and or not ( ) = != ~ < kind tasks queued_ms order by desc "
--- a/tests/core/language/test_language.py
+++ b/tests/core/language/test_language.py
@@ -116,6 +116,8 @@
         ("why 42", "1:5", "not an id"),
         ("cancel gulf-1", "1:8", "not an id"),
         ("drain host x", "1:7", "expected one of: data-centre, rack, worker"),
+        ("drain worker dc-1/w-1", "1:14", "a name is lower-case"),
+        ("drain rack dc-1/a/b", "1:12", "a name is lower-case"),
         ("drain worker A_b", "1:14", "a name is lower-case"),
         ('submit {"service": 1}', "1:8", "$.service"),
         ("reconfigure {]}", "1:13", "malformed"),
--- a/tests/daemon/test_operations.py
+++ b/tests/daemon/test_operations.py
@@ -219,6 +219,7 @@
         (b"show \xff", "text/plain", 400, {"reason": "malformed"}),
         ("show jobs", "application/json", 415, {"reason": "wrong-content-type"}),
         ("show jobs" + " " * 2000, "text/plain", 413, {"reason": "too-large"}),
+        ('reconfigure {"kinds": 3}', "text/plain", 400, {"place": "kinds"}),
         ("reconfigure {} from 3", "text/plain", 409, {"outcome": "not-run"}),
     ],
 )
