Tell the outcome of an interrupted change, and stop an interrupted script

An interrupted drain ended without a word on whether it took effect, and a script fed to the prompt went on with its next line after an interrupted submission.

--- a/packages/client/banyanwheel_client/cli/prompt.py
+++ b/packages/client/banyanwheel_client/cli/prompt.py
@@ -7,6 +7,7 @@
 from banyanwheel_core.errors import BanyanwheelError
 from banyanwheel_core.language import parse, suggest, unfinished_word
 
+from ..errors import InterruptionError
 from ..status import ExitStatus
 
 __all__ = ["LanguageCompleter", "Prompt"]
@@ -50,13 +51,10 @@
         try:
             return self._run.execute(parse(line))
         except BanyanwheelError as error:
+            if isinstance(error, InterruptionError) and not self._interactive:
+                raise
             self._run.printer.error(error)
             return getattr(error, "status", ExitStatus.USAGE)
-        except KeyboardInterrupt:
-            if not self._interactive:
-                raise
-            self._run.printer.error("interrupted")
-            return ExitStatus.INTERRUPTED
 
     def _lines(self):
         if not self._interactive:
--- a/packages/client/banyanwheel_client/cli/run.py
+++ b/packages/client/banyanwheel_client/cli/run.py
@@ -8,7 +8,7 @@
 
 from ..client import Client, ClientSettings
 from ..context import Environment
-from ..errors import InterruptedJobError, ProblemError, UsageError
+from ..errors import InterruptionError, ProblemError, UsageError
 from ..output import Printer
 from ..status import ExitStatus
 
@@ -59,10 +59,7 @@
                 self._printer.document(error.problem)
             raise
         except asyncio.CancelledError:
-            if not client.unanswered:
-                raise
-            message = f"{client.unanswered}: interrupted, outcome unknown"
-            raise InterruptedJobError(message) from None
+            raise _interruption(client, command) from None
         finally:
             client.close()
 
@@ -79,6 +76,14 @@
         return ExitStatus.INCOMPLETE
 
 
+def _interruption(client, command):
+    if client.unanswered:
+        return InterruptionError(f"{client.unanswered}: interrupted, outcome unknown")
+    if isinstance(command, Show | Why | Submit):
+        return InterruptionError("interrupted, nothing took effect")
+    return InterruptionError("interrupted, outcome unknown")
+
+
 def _client_settings(environment, options):
     text = environment.variables.get(ENTRIES_VARIABLE, "")
     entries = options.entries or tuple(text.replace(",", " ").split())
--- a/packages/client/banyanwheel_client/errors.py
+++ b/packages/client/banyanwheel_client/errors.py
@@ -11,7 +11,7 @@
     "ClientError",
     "ConflictError",
     "FailedError",
-    "InterruptedJobError",
+    "InterruptionError",
     "ProblemError",
     "RefusedError",
     "UnknownOutcomeError",
@@ -51,8 +51,8 @@
     status = ExitStatus.UNKNOWN
 
 
-class InterruptedJobError(ClientError):
-    """The person stopped the client while a job had no answer."""
+class InterruptionError(ClientError):
+    """The person stopped the client before an answer came."""
 
     status = ExitStatus.INTERRUPTED
 
--- a/tests/client/test_commands.py
+++ b/tests/client/test_commands.py
@@ -163,17 +163,28 @@
     assert completion.start_position == -len("data-c")
 
 
-def test_an_interrupted_submission_names_the_job(entry, jobs, tmp_path):
-    url = entry(after=[hang]).url
-    job = tmp_path / "job.json"
-    job.write_text(JOB)
-    arguments = ["submit", str(job), "--entry", url, "--try-timeout", "60"]
+@pytest.mark.parametrize(
+    ("lines", "words"),
+    [
+        (f"submit {JOB}", f"{JOB_ID.format(1)}: interrupted, outcome unknown"),
+        ("drain rack r-1", "banyanwheel: interrupted, outcome unknown"),
+        ("show jobs", "banyanwheel: interrupted, nothing took effect"),
+    ],
+)
+def test_an_interrupted_script_stops_and_tells_the_outcome(entry, jobs, lines, words):
+    arguments = ["prompt", "--entry", entry(after=[hang]).url, "--try-timeout", "60"]
     child = subprocess.Popen(
-        [sys.executable, "-c", PROGRAM, *arguments], stderr=subprocess.PIPE, text=True
+        [sys.executable, "-c", PROGRAM, *arguments],
+        stdin=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
     )
-    while not jobs.bodies and child.poll() is None:
+    child.stdin.write(f"{lines}\ncancel jobs where kind = price\n")
+    child.stdin.flush()
+    while not jobs.bodies and not jobs.commands and child.poll() is None:
         time.sleep(0.01)
     child.send_signal(signal.SIGINT)
     _, errors = child.communicate(timeout=60)
     assert child.returncode == ExitStatus.INTERRUPTED
-    assert f"{JOB_ID.format(1)}: interrupted, outcome unknown" in errors
+    assert words in errors
+    assert len(jobs.commands) + len(jobs.bodies) == 1
