--- /dev/null
+++ b/packages/client/banyanwheel_client/cli/app.py
@@ -0,0 +1,126 @@
+"""The subcommands."""
+
+from typing import Annotated
+
+import msgspec
+import typer
+
+from banyanwheel_core.language import Reconfigure, Submit, parse
+from banyanwheel_core.models import JobSpec
+
+from ..errors import UsageError
+from .options import with_run
+from .prompt import Prompt
+from .run import Run
+
+__all__ = ["app"]
+
+app = typer.Typer(
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+    help="Asks what a banyanwheel system does, and tells it what to do.",
+)
+
+Words = Annotated[list[str], typer.Argument(help="The rest of the command.")]
+
+
+@app.command()
+@with_run
+def submit(
+    run: Run,
+    file: Annotated[str, typer.Argument(help="A job as JSON; - is standard input.")],
+):
+    """Submit a job and print its answer."""
+    return run.execute(Submit(_read_json(run.environment, file, JobSpec)))
+
+
+@app.command()
+@with_run
+def ask(run: Run, text: Words):
+    """Run any command of the language."""
+    return _execute_words(run, *text)
+
+
+@app.command()
+@with_run
+def show(run: Run, words: Words):
+    """Show rows of a table: TABLE [where FILTER] [order by FIELD [desc]] [limit N]."""
+    return _execute_words(run, "show", *words)
+
+
+@app.command()
+@with_run
+def why(run: Run, job_id: str):
+    """Tell why a job waits, was refused, or runs where it does."""
+    return _execute_words(run, "why", job_id)
+
+
+@app.command()
+@with_run
+def cancel(run: Run, words: Words):
+    """Cancel a job: JOB_ID, or jobs where FILTER."""
+    return _execute_words(run, "cancel", *words)
+
+
+@app.command()
+@with_run
+def drain(run: Run, kind: str, name: str):
+    """Keep new work away from a worker, rack or data-centre."""
+    return _execute_words(run, "drain", kind, name)
+
+
+@app.command()
+@with_run
+def undrain(run: Run, kind: str, name: str):
+    """Lift a drain."""
+    return _execute_words(run, "undrain", kind, name)
+
+
+@app.command()
+@with_run
+def reconfigure(
+    run: Run,
+    file: Annotated[str, typer.Argument(help="A configuration; - is standard input.")],
+    base: Annotated[
+        int | None,
+        typer.Option(
+            "--from",
+            min=0,
+            metavar="OFFSET",
+            help="The version that it was made from; else the one in force.",
+        ),
+    ] = None,
+):
+    """Publish a configuration."""
+    document = _read_json(run.environment, file, dict)
+    return run.execute(Reconfigure(document, base))
+
+
+@app.command()
+@with_run
+def prompt(run: Run):
+    """Run commands line by line, with history and completion on a terminal."""
+    return Prompt(run).run()
+
+
+def _execute_words(run, *words):
+    return run.execute(parse(" ".join(words)))
+
+
+def _read_json(environment, file, kind):
+    data = _read(environment, file)
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise UsageError(f"{file}: {error}") from error
+
+
+def _read(environment, file):
+    if file == "-":
+        return environment.stdin.read()
+    try:
+        with open(file, "rb") as stream:
+            return stream.read()
+    except OSError as error:
+        raise UsageError(f"{file}: {error.strerror}") from error
