Read on from the last record of a page, not from the end of the stream

The log service's stand-in gives the stream's end as next, also where the limit cut the page short, so a reader of a long stream skipped records. Both meanings of next are now read alike. A page asked for before a rewind is dropped, and a process's own record that is not on the log does not count as a sign of a moving log.

--- a/packages/core/banyanwheel_core/configuration.py
+++ b/packages/core/banyanwheel_core/configuration.py
@@ -149,7 +149,7 @@
             if record.offset >= self._position:
                 self._apply(record, now)
                 self._position = record.offset + 1
-        self._position = max(self._position, page.next)
+        self._position = max(self._position, page.resume)
         if self._gap and not page.records:
             self._gap = replace(self._gap, settled=True)
         return self.offset != before
--- a/packages/core/banyanwheel_core/membership.py
+++ b/packages/core/banyanwheel_core/membership.py
@@ -63,9 +63,13 @@
         return self._version
 
     def apply(self, record, offset, age_ms, now):
-        """Takes in a record read from the log, ``age_ms`` old at ``now``."""
+        """Takes in a record read from the log, ``age_ms`` old at ``now``.
+
+        The own record, before it is on the log, has the offset -1.
+        """
         written_at = now - age_ms / 1000
-        self._clock.heard(written_at, QUIET_SHARE * record.lifetime_ms / 1000)
+        if offset != NOT_ON_LOG:
+            self._clock.heard(written_at, QUIET_SHARE * record.lifetime_ms / 1000)
         self._learn(self._entry(record, offset, written_at))
 
     def merge(self, members, now):
--- a/packages/daemon/banyanwheel_daemon/log_service.py
+++ b/packages/daemon/banyanwheel_daemon/log_service.py
@@ -148,7 +148,7 @@
         return self._next
 
     def rewind(self, offset):
-        """Reads on from ``offset`` after the read in progress."""
+        """Reads on from ``offset``; the answer to a read in progress is dropped."""
         self._rewound = offset
 
     async def follow(self, on_page, on_lost):
@@ -164,10 +164,11 @@
                 await asyncio.sleep(self._pause())
                 continue
             self._failures = 0
-            self._next = page.next
-            on_page(page)
             if self._rewound is not None:
                 self._next, self._rewound = self._rewound, None
+                continue
+            self._next = page.resume
+            on_page(page)
             if not page.records:
                 await asyncio.sleep(self._rest(started))
 
@@ -220,7 +221,7 @@
         raise LogRefused(message) if _is_refusal(response) else LogUnavailable(message)
     try:
         return _PAGES.decode(response.body)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise LogUnavailable(f"reading '{stream}': {error}") from error
 
 
--- a/tests/core/test_configuration.py
+++ b/tests/core/test_configuration.py
@@ -41,7 +41,7 @@
             Record(start + index, age_ms, msgspec.Raw(data))
             for index, data in enumerate(self.records[start : start + limit])
         )
-        return Page(self.first, start + len(records), records)
+        return Page(self.first, len(self.records), records)
 
 
 def reader():
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -72,6 +72,7 @@
 
 
 def test_a_reader_that_starts_in_such_an_outage_knows_the_members(view):
+    view.apply(member("self"), -1, 0, now=0)
     view.apply(member("a"), 0, 3_600_000, now=0)
     view.apply(member("b"), 1, 3_590_000, now=0)
     assert view.tick(0) == ()
--- a/tests/daemon/test_log_service.py
+++ b/tests/daemon/test_log_service.py
@@ -7,6 +7,7 @@
 from tornado.web import Application, RequestHandler
 
 from banyanwheel_daemon.log_service import (
+    PAGE_RECORDS,
     AppendUncertain,
     Follower,
     LogRefused,
@@ -47,7 +48,7 @@
             f'{{"offset": {start + i}, "age_ms": 5, "data": {data.decode()}}}'
             for i, data in enumerate(self._records[start:stop])
         )
-        end = min(stop, len(self._records))
+        end = len(self._records)
         self.write(f'{{"first": 0, "next": {end}, "records": [{rows}]}}')
 
 
@@ -79,7 +80,7 @@
     async def body(log, records, faults):
         assert [await log.append("s", b"%d" % n) for n in range(3)] == [0, 1, 2]
         page = await log.read("s", 1, limit=1)
-        assert (page.first, page.next) == (0, 2)
+        assert (page.first, page.resume) == (0, 2)
         assert [(record.offset, bytes(record.data)) for record in page.records] == [
             (1, b"1")
         ]
@@ -115,21 +116,21 @@
 
 def test_a_follower_goes_on_where_an_outage_stopped_it(run):
     async def body(log, records, faults):
-        records.extend([b"1", b"2"])
+        records.extend([b"1"] * 2 * PAGE_RECORDS)
         faults.extend([503, 503])
         seen, errors, done = [], [], asyncio.Event()
 
         def on_page(page):
             seen.extend(record.offset for record in page.records)
-            if len(seen) == 2:
+            if len(seen) == len(records):
                 done.set()
 
         follower = Follower(log, "s", random=random.Random(1))
         task = asyncio.create_task(follower.follow(on_page, errors.append))
         await done.wait()
         task.cancel()
-        assert seen == [0, 1]
+        assert seen == list(range(len(records)))
         assert len(errors) == 2
-        assert follower.next == 2
+        assert follower.next == len(records)
 
     run(body)
