--- a/packages/core/banyanwheel_core/configuration.py
+++ b/packages/core/banyanwheel_core/configuration.py
@@ -20,6 +20,7 @@
 
 NO_VERSION = -1
 MAX_VERDICTS = 1_024
+MAX_REPEATS = 16
 REPUBLISH_SHARE = 0.5  # of the stream's retention
 REPUBLISH_SPREAD = 0.1  # of that share, so that processes rarely race
 
@@ -64,12 +65,16 @@
 
 @dataclass(frozen=True, slots=True)
 class _Version:
-    """A version; ``written_at`` is None where its record was not read."""
+    """A version; ``written_at`` is None where its record was not read.
+
+    ``repeats`` holds the offsets of the versions that it repeats, newest last.
+    """
 
     offset: int
     document: Document
     data: bytes
     written_at: float | None = None
+    repeats: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -192,6 +197,10 @@
             return self._position > version.offset
         return now >= version.written_at + self._republish_after_s
 
+    def rebased(self, base):
+        """Returns the version in force if it just repeats ``base``, else ``base``."""
+        return self.offset if base in self._in_force.repeats else base
+
     def verdict(self, tag):
         """Returns what became of the record with a tag, or None if it was not read."""
         return self._verdicts.get(tag)
@@ -227,9 +236,15 @@
         except FindingsError as error:
             return Invalid(offset, error.findings)
         self._close_gap(version.base)
-        self._move(_Version(offset, document, data, written_at))
+        repeats = self._head_repeated_by(document)
+        self._move(_Version(offset, document, data, written_at, repeats))
         return Accepted(offset)
 
+    def _head_repeated_by(self, document):
+        if document != self._head.document:
+            return ()
+        return (*self._head.repeats, self._head.offset)[-MAX_REPEATS:]
+
     def _follows(self, base):
         if base == self._head.offset:
             return True
