Space the reads of a busy stream by the number of its readers

Every announcement woke the held read of every process, so reads grew with the square of the members. A follower may now be given a spacing, and the membership works one out that keeps the reads per second even.

--- a/packages/core/banyanwheel_core/membership.py
+++ b/packages/core/banyanwheel_core/membership.py
@@ -10,6 +10,8 @@
 __all__ = ["Membership"]
 
 QUIET_SHARE = 0.5  # of a lifetime; members announce at a third
+READ_SPACING_S = 0.01  # per member
+MAX_READ_SPACING_S = 2.0
 NOT_ON_LOG = -1
 
 
@@ -57,6 +59,15 @@
         """All known member records, leaving ones included."""
         return tuple(entry.record for entry in self._entries.values())
 
+    @property
+    def read_spacing_s(self):
+        """Seconds between two reads of the stream, so that its load stays even.
+
+        Each of n members announces itself to n readers; reading in proportion to n
+        keeps the reads per second the same, up to the longest spacing.
+        """
+        return min(MAX_READ_SPACING_S, READ_SPACING_S * len(self._entries))
+
     @property
     def version(self):
         """A number that grows with each change of a member's record."""
--- a/packages/daemon/banyanwheel_daemon/log_service.py
+++ b/packages/daemon/banyanwheel_daemon/log_service.py
@@ -130,16 +130,21 @@
     """Tails one stream and hands each page to a callback.
 
     ``on_page(page)`` is called for every answer, also for an empty one;
-    ``on_lost(error)`` for each read that failed.
+    ``on_lost(error)`` for each read that failed. ``spacing()`` gives the seconds
+    between two reads at the end of a stream, so that many readers of a busy stream
+    take several records at once; without it the next read follows at once.
     """
 
-    def __init__(self, log, stream, *, start=0, poll_ms=2_000, random):
+    def __init__(
+        self, log, stream, *, start=0, poll_ms=2_000, spacing=lambda: 0.0, random
+    ):
         self._log = log
         self._next = start
         self._poll_ms = min(poll_ms, MAX_WAIT_MS)
         self._random = random
         self._failures = 0
         self._stream = stream
+        self._spacing = spacing
         self._rewound = None
 
     @property
@@ -169,12 +174,17 @@
                 continue
             self._next = page.resume
             on_page(page)
-            if not page.records:
-                await asyncio.sleep(self._rest(started))
-
-    def _rest(self, started):
-        """Returns what is left of the poll, for a service that never holds back."""
-        return max(0.0, self._poll_ms / 1000 - (monotonic() - started))
+            await asyncio.sleep(self._rest(page, started))
+
+    def _rest(self, page, started):
+        """Returns the pause after a page; an empty one may not have been held back."""
+        if len(page.records) >= PAGE_RECORDS:
+            return 0.0
+        if page.records:
+            whole_s = self._random.uniform(0.5, 1.0) * self._spacing()
+        else:
+            whole_s = self._poll_ms / 1000
+        return max(0.0, whole_s - (monotonic() - started))
 
     def _pause(self):
         longest = min(MAX_PAUSE_S, FIRST_PAUSE_S * PAUSE_FACTOR**self._failures)
--- a/tests/daemon/test_log_service.py
+++ b/tests/daemon/test_log_service.py
@@ -1,11 +1,13 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 from tornado.web import Application, RequestHandler
 
+from banyanwheel_core.streams import Page, Record
 from banyanwheel_daemon.log_service import (
     PAGE_RECORDS,
     AppendUncertain,
@@ -134,3 +136,61 @@
         assert follower.next == len(records)
 
     run(body)
+
+
+class ScriptedLog:
+    """Answers reads with pages of the given numbers of records, then never."""
+
+    def __init__(self, sizes):
+        self.unread = list(sizes)
+        self.starts = []
+
+    async def read(self, stream, start, wait_ms):
+        self.starts.append(start)
+        if not self.unread:
+            await asyncio.Event().wait()
+        size = self.unread.pop(0)
+        records = tuple(
+            Record(start + index, 0, msgspec.Raw(b"1")) for index in range(size)
+        )
+        return Page(0, 10_000, records)
+
+
+def follow(log, on_page, **options):
+    async def main():
+        follower = Follower(log, "s", random=random.Random(1), **options)
+        task = asyncio.create_task(
+            follower.follow(lambda page: on_page(follower, page), print)
+        )
+        async with asyncio.timeout(HANG_S):
+            while log.unread or len(log.starts) < 3:
+                await asyncio.sleep(0)
+        task.cancel()
+
+    asyncio.run(main())
+
+
+def test_reads_are_spaced_only_at_the_end_of_the_stream():
+    log = ScriptedLog([PAGE_RECORDS, 1])
+    reads_before_spacing = []
+
+    def spacing():
+        reads_before_spacing.append(len(log.starts))
+        return 0.0
+
+    follow(log, lambda follower, page: None, spacing=spacing)
+    assert reads_before_spacing == [2]
+    assert log.starts == [0, PAGE_RECORDS, PAGE_RECORDS + 1]
+
+
+def test_the_answer_to_a_read_in_progress_is_dropped_after_a_rewind():
+    log = ScriptedLog([3, 2])
+    seen = []
+
+    def on_page(follower, page):
+        seen.append(len(page.records))
+        follower.rewind(1)
+
+    follow(log, on_page)
+    assert log.starts == [0, 3, 1]
+    assert seen == [3]
