Follow kept answers through a chain of successors

A repeat after a rolling replacement under the same names found no successor: the newest record under the name hides the leave record, and a leave record first written without a successor was kept in place of the one that names it. Membership.holder follows leave records by incarnation.

--- a/packages/core/banyanwheel_core/membership.py
+++ b/packages/core/banyanwheel_core/membership.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, replace
 
+from .effects import Peer
 from .log_clock import LogClock
 from .messages import KnownMember, MemberRecord, MembersReply
 from .partners import choose_partners
@@ -12,6 +13,7 @@
 QUIET_SHARE = 0.5  # of a lifetime; members announce at a third
 READ_SPACING_S = 0.01  # per member
 MAX_READ_SPACING_S = 2.0
+MAX_HANDOVERS = 8  # in a row
 NOT_ON_LOG = -1
 
 
@@ -129,6 +131,24 @@
         entry = self._left.get((name, incarnation))
         return entry.record if entry else None
 
+    def holder(self, peer):
+        """Returns who holds the kept answers of a process that may have left.
+
+        That is the process itself, or the end of the chain of successors. A leave
+        record names its successor as ``name.incarnation``, or as ``name`` for the
+        incarnation known now. None stands for a successor that is not known.
+        """
+        for _ in range(MAX_HANDOVERS):
+            record = self.departed(peer.name, peer.incarnation)
+            if record is None or not record.successor:
+                break
+            name, _, incarnation = record.successor.partition(".")
+            successor = self.find(name)
+            if not incarnation and successor is None:
+                return None
+            peer = Peer(name, incarnation or successor.incarnation)
+        return peer
+
     def eligible(self, service):
         """Returns the members that may get new work of a service."""
         return tuple(
@@ -165,7 +185,7 @@
 
     def _learn(self, new):
         if new.record.leaving:
-            self._left.setdefault(new.key, new)
+            self._note_left(new)
         elif new.key in self._left:
             return
         current = self._entries.get(new.record.name)
@@ -176,6 +196,11 @@
         else:
             self._store(_noting(current, new))
 
+    def _note_left(self, new):
+        known = self._left.get(new.key)
+        if known is None or new.record.successor and not known.record.successor:
+            self._left[new.key] = new
+
     def _store(self, entry):
         previous = self._entries.get(entry.record.name)
         self._entries[entry.record.name] = entry
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -4,6 +4,7 @@
 import pytest
 
 from banyanwheel_core.announcements import AnnouncementSchedule
+from banyanwheel_core.effects import Peer
 from banyanwheel_core.membership import Membership
 from banyanwheel_core.messages import KnownMember, MemberRecord, MembersReply
 
@@ -97,6 +98,18 @@
     assert view.departed("a", "2") is None
 
 
+def test_kept_answers_are_followed_through_replacements_under_the_same_names(view):
+    view.apply(member("a", "1", leaving=True), 0, 0, now=0)
+    view.apply(member("a", "1", leaving=True, successor="b.1"), 1, 0, now=1)
+    view.apply(member("a", "2"), 2, 0, now=2)
+    view.apply(member("b", "1", leaving=True, successor="c"), 3, 0, now=3)
+    view.apply(member("b", "2"), 4, 0, now=4)
+    assert view.holder(Peer("a", "1")) is None
+    view.apply(member("c", "1"), 5, 0, now=5)
+    assert view.holder(Peer("a", "1")) == Peer("c", "1")
+    assert view.holder(Peer("a", "2")) == Peer("a", "2")
+
+
 def test_a_peer_teaches_newcomers_and_never_overrides_newer_knowledge(view):
     view.log_lost(0)
     view.apply(member("a", "2"), 9, 0, now=0)
