--- a/packages/daemon/banyanwheel_daemon/settings.py
+++ b/packages/daemon/banyanwheel_daemon/settings.py
@@ -94,24 +94,23 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EntryListener:
-    """Addresses of an entry.
+    """Addresses of an entry: ``http`` for callers and operators, ``address`` for peers.
 
-    ``http`` serves callers and operators, ``address`` messages from peers;
-    ``advertise`` is what peers are told in place of ``address``.
+    Peers learn ``address`` from their own settings, not from the entry.
     """
 
     http: Address = ANY_PORT
     address: Address = ANY_PORT
-    advertise: Address | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AgentListener:
     """Addresses and bounds of an agent.
 
-    ``http`` serves the backend server beside it, health and metrics. Kept answers
-    last ``retention_ms``, an announcement ``announce_lifetime_ms``; a graceful stop
-    waits at most ``grace_ms`` for work in progress.
+    ``http`` serves the backend server beside it, health and metrics, ``address``
+    messages from peers; ``advertise`` is what peers are told in place of it. Kept
+    answers last ``retention_ms``, an announcement ``announce_lifetime_ms``; a
+    graceful stop waits at most ``grace_ms`` for work in progress.
     """
 
     http: Address = ANY_PORT
@@ -123,6 +122,11 @@
     max_jobs: Size = 10_000
     max_tasks: Size = 50_000
 
+    def __post_init__(self):
+        """Makes ``advertise`` a plain text: the codec takes no subclass of it."""
+        if self.advertise is not None:
+            object.__setattr__(self, "advertise", str(self.advertise))
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LogServiceSettings:
@@ -154,10 +158,9 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EntryLimits:
-    """Bounds on what callers may hold open at an entry."""
+    """Bounds on what callers may send to an entry."""
 
     max_body_bytes: Size = 4 * 1024 * 1024
-    max_waiting: Size = 10_000
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -1,3 +1,4 @@
+import msgspec
 import pytest
 
 from banyanwheel_core.errors import FindingsError
@@ -49,6 +50,14 @@
     assert check(write(ENTRY)) == ()
 
 
+def test_an_advertised_address_goes_into_messages_as_it_is(write):
+    faultless = FAULTY_AGENT.replace("Agent 1", "agent-1").replace("entry-host", "::1")
+    text = faultless.replace('retention_ms = "long"', 'advertise = "10.0.0.7:7000"')
+    path = write(text.replace("adress", "address").replace("::1:", "[::1]:"))
+    advertise = AgentSettings.from_file(path).agent.advertise
+    assert msgspec.json.encode(advertise) == b'"10.0.0.7:7000"'
+
+
 def test_four_faults_are_reported_together_each_with_its_line(write):
     path = write(FAULTY_AGENT)
     with pytest.raises(FindingsError) as caught:
