--- a/packages/core/banyanwheel_core/checking.py
+++ b/packages/core/banyanwheel_core/checking.py
@@ -42,6 +42,9 @@
             data = tomllib.loads(text)
         except tomllib.TOMLDecodeError as error:
             raise FindingsError([_syntax_finding(str(error), name)]) from error
+        except RecursionError as error:
+            message = "is nested too deeply"
+            raise FindingsError([Finding("syntax", message, name)]) from error
         return cls(data, _key_lines(text), name)
 
     def line_of(self, path):
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -77,6 +77,7 @@
     ("text", "place", "line"),
     [
         ("[process]\nname = \n", "syntax", 2),
+        ("deep = " + "[" * 5_000 + "]" * 5_000, "syntax", None),
         ("[process]\nname = 'a'\n", "role", None),
         (ENTRY + "[agent]\n", "role", None),
         (ENTRY.replace("url", "# url"), "log_service.url", 6),
