--- a/tests/daemon/test_log_service.py
+++ b/tests/daemon/test_log_service.py
@@ -1,12 +1,15 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 from tornado.web import Application, RequestHandler
 
+from banyanwheel_core.streams import Page, Record
 from banyanwheel_daemon.log_service import (
+    PAGE_RECORDS,
     AppendUncertain,
     Follower,
     LogRefused,
@@ -47,7 +50,7 @@
             f'{{"offset": {start + i}, "age_ms": 5, "data": {data.decode()}}}'
             for i, data in enumerate(self._records[start:stop])
         )
-        end = min(stop, len(self._records))
+        end = len(self._records)
         self.write(f'{{"first": 0, "next": {end}, "records": [{rows}]}}')
 
 
@@ -79,7 +82,7 @@
     async def body(log, records, faults):
         assert [await log.append("s", b"%d" % n) for n in range(3)] == [0, 1, 2]
         page = await log.read("s", 1, limit=1)
-        assert (page.first, page.next) == (0, 2)
+        assert (page.first, page.resume) == (0, 2)
         assert [(record.offset, bytes(record.data)) for record in page.records] == [
             (1, b"1")
         ]
@@ -115,21 +118,79 @@
 
 def test_a_follower_goes_on_where_an_outage_stopped_it(run):
     async def body(log, records, faults):
-        records.extend([b"1", b"2"])
+        records.extend([b"1"] * 2 * PAGE_RECORDS)
         faults.extend([503, 503])
         seen, errors, done = [], [], asyncio.Event()
 
         def on_page(page):
             seen.extend(record.offset for record in page.records)
-            if len(seen) == 2:
+            if len(seen) == len(records):
                 done.set()
 
         follower = Follower(log, "s", random=random.Random(1))
         task = asyncio.create_task(follower.follow(on_page, errors.append))
         await done.wait()
         task.cancel()
-        assert seen == [0, 1]
+        assert seen == list(range(len(records)))
         assert len(errors) == 2
-        assert follower.next == 2
+        assert follower.next == len(records)
 
     run(body)
+
+
+class ScriptedLog:
+    """Answers reads with pages of the given numbers of records, then never."""
+
+    def __init__(self, sizes):
+        self.unread = list(sizes)
+        self.starts = []
+
+    async def read(self, stream, start, wait_ms):
+        self.starts.append(start)
+        if not self.unread:
+            await asyncio.Event().wait()
+        size = self.unread.pop(0)
+        records = tuple(
+            Record(start + index, 0, msgspec.Raw(b"1")) for index in range(size)
+        )
+        return Page(0, 10_000, records)
+
+
+def follow(log, on_page, **options):
+    async def main():
+        follower = Follower(log, "s", random=random.Random(1), **options)
+        task = asyncio.create_task(
+            follower.follow(lambda page: on_page(follower, page), print)
+        )
+        async with asyncio.timeout(HANG_S):
+            while log.unread or len(log.starts) < 3:
+                await asyncio.sleep(0)
+        task.cancel()
+
+    asyncio.run(main())
+
+
+def test_reads_are_spaced_only_at_the_end_of_the_stream():
+    log = ScriptedLog([PAGE_RECORDS, 1])
+    reads_before_spacing = []
+
+    def spacing():
+        reads_before_spacing.append(len(log.starts))
+        return 0.0
+
+    follow(log, lambda follower, page: None, spacing=spacing)
+    assert reads_before_spacing == [2]
+    assert log.starts == [0, PAGE_RECORDS, PAGE_RECORDS + 1]
+
+
+def test_the_answer_to_a_read_in_progress_is_dropped_after_a_rewind():
+    log = ScriptedLog([3, 2])
+    seen = []
+
+    def on_page(follower, page):
+        seen.append(len(page.records))
+        follower.rewind(1)
+
+    follow(log, on_page)
+    assert log.starts == [0, 3, 1]
+    assert seen == [3]
