--- a/packages/daemon/banyanwheel_daemon/agent.py
+++ b/packages/daemon/banyanwheel_daemon/agent.py
@@ -10,14 +10,23 @@
 from banyanwheel_core.coordinator import Coordinator
 from banyanwheel_core.effects import Abort, Execute, Peer, Send
 from banyanwheel_core.executor import Executor
-from banyanwheel_core.messages import HandoverTaken, MemberRecord
+from banyanwheel_core.language import Table
+from banyanwheel_core.messages import (
+    HandoverTaken,
+    InspectReply,
+    InspectRequest,
+    JobAnswer,
+    MemberRecord,
+    SubmitJob,
+)
 from banyanwheel_core.placement import Placement
 
 from .announcements import make_application
 from .backend import BackendClient
 from .lifecycle import Lifecycle
 from .log_service import LogError
-from .node import Node
+from .logs import Branch, continue_job
+from .node import Node, serve
 from .web import WebServer
 
 __all__ = ["Agent", "run"]
@@ -52,6 +61,7 @@
         self._successor = ""
         self._handed_over = False
         self._lifecycle = Lifecycle()
+        self._actions = {}
         application = make_application(
             process.name,
             self._on_announcement,
@@ -83,7 +93,7 @@
 
     def on_load(self, name, load):
         """Takes in the load that an executor sent along."""
-        self._placement.loaded(name, load)
+        self._placement.loaded(name, load, time.monotonic())
 
     def on_effect(self, effect):
         """Runs or stops a task on the backend server."""
@@ -95,7 +105,7 @@
 
     def on_tick(self, now):
         """Announces this agent when that is due."""
-        self._placement.loaded(self._identity.name, self._executor.load)
+        self._placement.loaded(self._identity.name, self._executor.load, now)
         if self._announcing:
             return
         record = self._record()
@@ -104,6 +114,13 @@
             self._announcing = True
             self.spawn(self._append_record(record))
 
+    def on_configured(self, policy):
+        """Puts weights, bounds and drains in force."""
+        self._coordinator.configure(policy)
+        drained = self._configuration.is_drained(self._record())
+        now = time.monotonic()
+        self.perform(self._executor.configure(policy, drained, now))
+
     def on_lost(self, name, now):
         """Leaves a peer that does not answer out for a while."""
         super().on_lost(name, now)
@@ -113,12 +130,71 @@
         """Waits again for a peer that had been lost."""
         self._coordinator.peer_heard(name)
 
+    def _perform(self, effect):
+        match effect:
+            case Send(message=JobAnswer(answer=answer)):
+                self._log_answer(answer)
+        super()._perform(effect)
+
+    def _log_answer(self, answer):
+        action = self._actions.pop(answer.id, None)
+        if action is not None:
+            action.add_success_fields(
+                state=answer.state, outcome=answer.outcome, reason=answer.reason
+            )
+            action.finish()
+
     def _decide(self, sender, message, now):
-        if isinstance(message, HandoverTaken):
-            self._handed_over = True
-            return []
+        match message:
+            case SubmitJob(job_id=job_id, spec=spec) if job_id not in self._actions:
+                self._actions[job_id] = continue_job(
+                    job_id,
+                    Branch.COORDINATOR,
+                    self._identity.name,
+                    tasks=len(spec.tasks),
+                )
+            case HandoverTaken():
+                self._handed_over = True
+                return []
+            case InspectRequest(number=number, what=what):
+                rows = msgspec.Raw(msgspec.json.encode(self._rows(what)))
+                return [Send(sender, InspectReply(number, rows))]
         return super()._decide(sender, message, now)
 
+    # Operators.
+
+    def _rows(self, what):
+        table, _, job_id = what.partition(" ")
+        match table:
+            case Table.JOBS:
+                return self._coordinator.rows()
+            case Table.TASKS:
+                return self._executor.task_rows()
+            case Table.QUEUES:
+                return self._executor.queue_rows()
+            case Table.WORKERS:
+                return [self._worker_row()]
+            case Table.REFUSALS:
+                return self.refusal_rows()
+            case "why":
+                return self._coordinator.explain(job_id, time.monotonic())
+        return []
+
+    def _worker_row(self):
+        record = self._record()
+        return {
+            "worker": record.name,
+            "data_centre": record.data_centre,
+            "rack": record.rack,
+            "services": record.services,
+            "state": self._executor.backend_state,
+            "slots": self._executor.slots,
+            "free_slots": self._executor.free_slots,
+            "running": self._executor.running,
+            "queued_ms": self._executor.load.queued_ms,
+            "draining": self._configuration.is_drained(record),
+        }
+
     # The backend server.
 
     def _on_announcement(self, announcement):
@@ -131,7 +207,12 @@
         self.perform(self._executor.announced(announcement, time.monotonic()))
 
     async def _run(self, task):
-        result = await self._backend.run(task)
+        name = f"{self._identity.name}/{task.index}"
+        with continue_job(
+            task.job_id, Branch.EXECUTOR, name, task=task.index
+        ) as action:
+            result = await self._backend.run(task)
+            action.add_success_fields(outcome=result.outcome, run_ms=result.run_ms)
         self.perform(self._executor.finished(result, time.monotonic()))
 
     # Announcing.
@@ -223,8 +304,4 @@
 
 def run(settings, env):
     """Runs an agent until it is told to stop."""
-    asyncio.run(_run(settings, env))
-
-
-async def _run(settings, env):
-    await Agent(settings).main(env)
+    serve(Agent, settings, env)
--- a/packages/daemon/banyanwheel_daemon/entry.py
+++ b/packages/daemon/banyanwheel_daemon/entry.py
@@ -5,10 +5,14 @@
 import time
 
 from banyanwheel_core.entry import Entry, NoIdsError
+from banyanwheel_core.messages import InspectReply
 from banyanwheel_core.models import JobState, Reason
 
+from .desk import OperatorDesk
 from .lifecycle import Lifecycle
-from .node import Node
+from .logs import Branch, continue_job
+from .node import Node, serve
+from .operations import CommandsHandler, Operations
 from .problems import ProblemError
 from .web import WebServer, make_application
 
@@ -35,10 +39,13 @@
         self._futures = {}
         self._tokens = itertools.count()
         self._lifecycle = Lifecycle()
+        self._desk = OperatorDesk(self)
+        options = {"operations": Operations(self._desk)}
         application = make_application(
             self,
             self._metrics.render,
             max_body_bytes=settings.limits.max_body_bytes,
+            routes=[(r"/v1/commands", CommandsHandler, options)],
         )
         self._web = WebServer(application)
         self._web.listen(settings.entry.http.host, settings.entry.http.port)
@@ -80,6 +87,10 @@
         """Turns to the successors of coordinators that have left."""
         self.perform(self._entry.members_changed(time.monotonic()))
 
+    def on_configured(self, policy):
+        """Puts the bounds on submissions in force."""
+        self._entry.configure(policy)
+
     def on_lost(self, name, now):
         """Waits a little longer for a coordinator that does not answer."""
         super().on_lost(name, now)
@@ -95,6 +106,12 @@
         if future is not None and not future.done():
             future.set_result(effect.answer)
 
+    def _decide(self, sender, message, now):
+        if isinstance(message, InspectReply):
+            self._desk.replied(sender, message)
+            return []
+        return super()._decide(sender, message, now)
+
     # The JobDesk.
 
     async def issue_ids(self, count):
@@ -108,7 +125,12 @@
 
     async def submit(self, job_id, spec, fingerprint):
         """Returns the job's answer."""
-        return await self._ask(self._entry.submit, job_id, spec, fingerprint)
+        started = time.monotonic()
+        answer = await self._ask(self._entry.submit, job_id, spec, fingerprint)
+        if answer.id:
+            elapsed_ms = round((time.monotonic() - started) * 1_000)
+            self._log_answer(answer, elapsed_ms)
+        return answer
 
     async def query(self, job_id):
         """Returns the job's answer, or None while it is still running."""
@@ -119,6 +141,15 @@
         """Cancels the job and returns the answer that tells what came of it."""
         return await self._ask(self._entry.cancel, job_id)
 
+    def _log_answer(self, answer, elapsed_ms):
+        name = self._identity.name
+        with continue_job(
+            answer.id, Branch.ENTRY, name, elapsed_ms=elapsed_ms
+        ) as action:
+            action.add_success_fields(
+                state=answer.state, outcome=answer.outcome, reason=answer.reason
+            )
+
     async def _ask(self, question, *arguments):
         token = next(self._tokens)
         future = asyncio.get_running_loop().create_future()
@@ -132,8 +163,4 @@
 
 def run(settings, env):
     """Runs an entry until it is told to stop."""
-    asyncio.run(_run(settings, env))
-
-
-async def _run(settings, env):
-    await EntryNode(settings).main(env)
+    serve(EntryNode, settings, env)
