Publish configuration from the entries, and find the holder of handed answers

The version in force is published again in time; a leave record names its successor's incarnation, so a repeat finds the answers after a replacement under the same name.

--- a/packages/core/banyanwheel_core/entry.py
+++ b/packages/core/banyanwheel_core/entry.py
@@ -259,13 +259,7 @@
     def _owner(self, job_id):
         """The process to ask: the coordinator, or the successor it named."""
         owner = JobId.parse(job_id).coordinator
-        member = self._members.find(owner.name)
-        same = member is not None and member.incarnation == owner.incarnation
-        if same and member.successor:
-            successor = self._members.find(member.successor)
-            if successor is not None:
-                return Peer(successor.name, successor.incarnation)
-        return owner
+        return self._members.holder(owner) or owner
 
     def _open(self, pending, now):
         try:
--- a/packages/daemon/banyanwheel_daemon/agent.py
+++ b/packages/daemon/banyanwheel_daemon/agent.py
@@ -281,7 +281,7 @@
             self.perform([Send(peer, message) for message in messages])
             await asyncio.sleep(HANDOVER_PAUSE_SECONDS)
             if self._handed_over:
-                self._successor = successor.name
+                self._successor = f"{successor.name}.{successor.incarnation}"
                 await self._append_record(self._record())
                 return
 
--- a/packages/daemon/banyanwheel_daemon/entry.py
+++ b/packages/daemon/banyanwheel_daemon/entry.py
@@ -14,6 +14,7 @@
 from .node import Node, serve
 from .operations import CommandsHandler, Operations
 from .problems import ProblemError
+from .publisher import Publisher
 from .web import WebServer, make_application
 
 __all__ = ["EntryNode", "run"]
@@ -39,6 +40,9 @@
         self._futures = {}
         self._tokens = itertools.count()
         self._lifecycle = Lifecycle()
+        self._publisher = Publisher.from_settings(
+            settings.log_service, self._log, self._configuration
+        )
         self._desk = OperatorDesk(self)
         options = {"operations": Operations(self._desk)}
         application = make_application(
@@ -63,6 +67,7 @@
     async def main(self, env):
         """Runs until a signal asks to stop, then finishes what is in progress."""
         self.start()
+        self.spawn(self._publisher.keep_in_force())
         self._lifecycle.ready(env, self._identity.name, self._web, self.address)
         await self._lifecycle.stop_asked()
         self._lifecycle.stopping()
@@ -87,6 +92,14 @@
         """Turns to the successors of coordinators that have left."""
         self.perform(self._entry.members_changed(time.monotonic()))
 
+    def on_versions_read(self):
+        """Tells the publisher what became of its versions."""
+        self._publisher.notify()
+
+    async def publish(self, document, base):
+        """Publishes a configuration made from the version at the offset ``base``."""
+        return await self._publisher.publish(document, base)
+
     def on_configured(self, policy):
         """Puts the bounds on submissions in force."""
         self._entry.configure(policy)
--- a/packages/daemon/banyanwheel_daemon/node.py
+++ b/packages/daemon/banyanwheel_daemon/node.py
@@ -97,7 +97,9 @@
         self._configuration = Configuration(
             retention_s=log_settings.retention_ms / 1_000, random=self._random
         )
-        self._members_follower = self._follower(log_settings.members_stream)
+        self._members_follower = self._follower(
+            log_settings.members_stream, spacing=lambda: self._members.read_spacing_s
+        )
         self._versions_follower = self._follower(log_settings.configuration_stream)
         self._streams_read = set()
         self._effects = deque()
@@ -162,12 +164,13 @@
         self.spawn(self._ask_entries())
         self._ticker.start()
 
-    def _follower(self, stream):
+    def _follower(self, stream, **options):
         return Follower(
             self._log,
             stream,
             poll_ms=self._settings.log_service.poll_ms,
             random=self._random,
+            **options,
         )
 
     def spawn(self, coroutine):
@@ -411,6 +414,7 @@
         self._streams_read.add("configuration")
         if self._configuration.apply_page(page, time.monotonic()):
             self._configured()
+        self.on_versions_read()
 
     def _adopt(self, offset, document):
         try:
@@ -426,6 +430,9 @@
         log_message("configuration:in-force", offset=self._configuration.offset)
         self.on_configured(Policy.from_document(self._configuration.document))
 
+    def on_versions_read(self):
+        """Is called after records of the configuration stream were taken in."""
+
     def on_configured(self, policy):
         """Is called when another configuration is in force."""
 
