Give each caller the answer to its own submission, and wake only when due

Cause: two callers that used one id with two bodies through one entry both got the conflict, since an entry matched answers by id alone; found by the scenario of an id used again for another body. Answers now carry the submission's fingerprint.

--- a/packages/core/banyanwheel_core/coordinator.py
+++ b/packages/core/banyanwheel_core/coordinator.py
@@ -39,6 +39,7 @@
 __all__ = ["Coordinator", "CoordinatorLimits"]
 
 QUEUE_RETRY_MS = 1_000
+MAX_DETAIL = 500  # characters of a failed task's own answer
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,7 +170,7 @@
             return known
         refusal = self._admission(message)
         if refusal is not None:
-            return self._refuse(sender, job_id, *refusal)
+            return self._refuse(sender, message, *refusal)
         job = Job.from_submission(message, now)
         job.waiters.add(sender)
         self._jobs[job_id] = job
@@ -189,14 +190,14 @@
         if (job or kept) and (job or kept).fingerprint != fingerprint:
             detail = "the id belongs to another submission; this one was not run"
             answer = failed(job_id, Reason.ID_CONFLICT, detail, outcome=None)
-            return [Send(sender, JobAnswer(answer)), _refusal(Reason.ID_CONFLICT)]
+            return self._tell(sender, answer, fingerprint)
         if job is not None:
             job.waiters.add(sender)
             return [Send(sender, JobAccepted(job_id))]
         if kept is not None:
-            return [Send(sender, JobAnswer(kept.answer))]
+            return [Send(sender, JobAnswer(kept.answer, fingerprint))]
         answer = self._answer_without_job(job_id, now)
-        return None if answer is None else self._tell(sender, answer)
+        return None if answer is None else self._tell(sender, answer, fingerprint)
 
     def _answer_without_job(self, job_id, now):
         """What to say of an id without a job; None if it was never submitted."""
@@ -261,13 +262,16 @@
             return Reason.DEADLINE_INFEASIBLE, detail, wait_ms
         return None
 
-    def _refuse(self, sender, job_id, reason, detail, retry_after_ms):
-        self._blocks.refuse(JobId.parse(job_id), reason)
-        answer = refused(job_id, reason, detail, retry_after_ms)
-        return self._tell(sender, answer)
+    def _refuse(self, sender, message, reason, detail, retry_after_ms):
+        self._blocks.refuse(JobId.parse(message.job_id), reason)
+        answer = refused(message.job_id, reason, detail, retry_after_ms)
+        return self._tell(sender, answer, message.fingerprint)
 
-    def _tell(self, sender, answer):
-        return [Send(sender, JobAnswer(answer)), _refusal(answer.reason)]
+    def _tell(self, sender, answer, fingerprint=""):
+        return [
+            Send(sender, JobAnswer(answer, fingerprint)),
+            _refusal(answer.reason),
+        ]
 
     def _query(self, sender, job_id, now):
         job = self._jobs.get(job_id)
@@ -275,7 +279,7 @@
             return [Send(sender, JobAccepted(job_id))]
         kept = self._answers.find(job_id)
         if kept is not None:
-            return [Send(sender, JobAnswer(kept.answer))]
+            return [Send(sender, JobAnswer(kept.answer, kept.fingerprint))]
         answer = self._answer_without_job(job_id, now)
         if answer is None:
             detail = "nothing has been submitted under this id yet"
@@ -410,7 +414,8 @@
 
     def _done(self, sender, job, task, result, now):
         task.step("done")
-        task.body = result.body
+        # A copy: the decoded value would keep its whole envelope alive.
+        task.body = result.body.copy()
         task.sent = None
         job.undone -= 1
         self._placement.succeeded(sender.name, job.spec.flow, result.run_ms)
@@ -429,7 +434,8 @@
             return self._retry(job, result.index, reason, now)
         if job.cancelled:
             return self._settle_cancelled(job, now)
-        detail = f"task {result.index} at worker {sender.name}: {result.outcome}"
+        text = bytes(result.body).decode(errors="replace")[:MAX_DETAIL]
+        detail = f"task {result.index} at worker {sender.name}: {result.outcome} {text}"
         return self._fail(job, reason, detail, now)
 
     def _may_retry(self, job, task):
@@ -481,7 +487,8 @@
         self._timers.cancel(("job", job.id))
         self._answers.keep(job, answer, now)
         waiters = sorted(job.waiters, key=lambda peer: peer.name)
-        return [Send(waiter, JobAnswer(answer)) for waiter in waiters]
+        message = JobAnswer(answer, job.fingerprint)
+        return [Send(waiter, message) for waiter in waiters]
 
     # Peers that fall silent, come back, are replaced or are lost.
 
--- a/packages/core/banyanwheel_core/entry.py
+++ b/packages/core/banyanwheel_core/entry.py
@@ -160,14 +160,14 @@
         match message:
             case IdBlock():
                 return self._stock_up(sender, message, now)
-            case JobAnswer(answer=answer):
-                return self._answered(answer, now)
+            case JobAnswer():
+                return self._answered(message, now)
             case JobAccepted(job_id=job_id):
                 return self._accepted(job_id)
         return []
 
     def tick(self, now):
-        """Acts on deadlines, and fetches ids before they run out."""
+        """Acts on the deadlines that have come."""
         effects = []
         for key in self._timers.due(now):
             match key:
@@ -175,11 +175,12 @@
                     effects += self._give_up(name)
                 case token:
                     effects += self._timed_out(self._pending[token])
-        return effects + self._fetch_ids(now)
+        return effects
 
     # Ids.
 
-    def _fetch_ids(self, now):
+    def fetch_ids(self, now):
+        """Asks for ids before those at hand run out."""
         self._drop_stale(now)
         at_hand = sum(len(stock.ids) for stock in self._stocks.values())
         effects = []
@@ -294,9 +295,12 @@
             answer = refused(job_id or "", reason, detail, 1_000)
         return [Answered(token, answer), _refusal(reason)]
 
-    def _answered(self, answer, now):
+    def _answered(self, message, now):
+        answer = message.answer
         effects = []
         for pending in list(self._by_job.get(answer.id, {}).values()):
+            if not _answers(message, pending):
+                continue
             if self._may_move(pending, answer):
                 effects += self._move(pending, answer, now)
             else:
@@ -420,6 +424,14 @@
         return self._unreachable(pending)
 
 
+def _answers(message, pending):
+    """Tells whether an answer is meant for this caller's request."""
+    if message.fingerprint == pending.fingerprint:
+        return True
+    conflict = message.answer.reason is Reason.ID_CONFLICT
+    return not pending.fingerprint and not conflict
+
+
 def _running(job_id):
     return Answer(job_id, state="running")
 
--- a/packages/core/banyanwheel_core/messages.py
+++ b/packages/core/banyanwheel_core/messages.py
@@ -114,9 +114,14 @@
 
 
 class JobAnswer(_Message):
-    """The one answer of a job."""
+    """The one answer of a job.
+
+    ``fingerprint`` is that of the submission answered, empty after a question about
+    a job that is not known; two callers may use one id at the same time.
+    """
 
     answer: Answer
+    fingerprint: str = ""
 
 
 # Coordinator and executor.
--- a/packages/daemon/banyanwheel_daemon/agent.py
+++ b/packages/daemon/banyanwheel_daemon/agent.py
@@ -198,12 +198,20 @@
     # The backend server.
 
     def _on_announcement(self, announcement):
-        known = self._backend
-        if known is None or known.address != announcement.address:
+        known = self._announcement
+        if (
+            known is None
+            or known.address != announcement.address
+            or known.connections != announcement.connections
+        ):
+            if self._backend is not None:
+                self._backend.close()
             self._backend = BackendClient.from_announcement(
                 announcement, lease_ms=LEASE_MS
             )
         self._announcement = announcement
+        slots = min(announcement.slots, self._backend.capacity)
+        announcement = msgspec.structs.replace(announcement, slots=slots)
         self.perform(self._executor.announced(announcement, time.monotonic()))
 
     async def _run(self, task):
--- a/packages/daemon/banyanwheel_daemon/entry.py
+++ b/packages/daemon/banyanwheel_daemon/entry.py
@@ -22,6 +22,7 @@
 READINESS_SECONDS = 1.0  # readiness is down this long before connections are refused
 GRACE_SECONDS = 30.0
 POLL_SECONDS = 0.02
+IDS_PERIOD_SECONDS = 0.2  # between looks at the ids at hand
 
 
 class EntryNode(Node):
@@ -38,6 +39,7 @@
             data_centre=settings.process.data_centre,
         )
         self._futures = {}
+        self._ids_checked_at = 0.0
         self._tokens = itertools.count()
         self._lifecycle = Lifecycle()
         self._publisher = Publisher.from_settings(
@@ -86,7 +88,9 @@
 
     def on_tick(self, now):
         """Fetches ids before they run out."""
-        self.perform(self._entry.tick(now))
+        if now >= self._ids_checked_at + IDS_PERIOD_SECONDS:
+            self._ids_checked_at = now
+            self.perform(self._entry.fetch_ids(now))
 
     def on_members_changed(self):
         """Turns to the successors of coordinators that have left."""
--- a/packages/daemon/banyanwheel_daemon/node.py
+++ b/packages/daemon/banyanwheel_daemon/node.py
@@ -51,7 +51,8 @@
 
 __all__ = ["Node", "serve"]
 
-TICK_MS = 20
+TICK_MS = 50
+CLOSE_LINGER_MS = 500  # for the last messages to leave
 IDLE_CONNECTION_SECONDS = 120.0
 NEWCOMER_PAUSE_SECONDS = 2.0  # between questions to the entries in a log outage
 
@@ -106,6 +107,8 @@
         self._performing = False
         self._known_incarnations = {}
         self._pings = 0
+        self._timer = None
+        self._timer_at = 0.0
         self._tasks = set()
         self._transport = Transport(
             settings.process.name, incarnation, address, self._received
@@ -207,10 +210,12 @@
     def close(self):
         """Stops ticking and closes what is open."""
         self._ticker.stop()
+        if self._timer is not None:
+            self._timer.cancel()
         for task in self._tasks:
             task.cancel()
         self._transport.flush()
-        self._transport.close()
+        self._transport.close(linger_ms=CLOSE_LINGER_MS)
         self._metrics.close()
 
     def _finished(self, task):
@@ -231,6 +236,7 @@
                 self._perform(self._effects.popleft())
         finally:
             self._performing = False
+        self._set_timer()
 
     def _perform(self, effect):
         match effect:
@@ -325,12 +331,30 @@
 
     def _tick(self):
         now = time.monotonic()
+        self._check_links(now)
+        self.on_tick(now)
+
+    def _set_timer(self):
+        """Wakes the decisions at the earliest time that any of them asks for."""
+        times = [decision.next_tick for decision in self.decisions]
+        due = min((at for at in times if at is not None), default=None)
+        if due is None or (self._timer is not None and self._timer_at <= due):
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = due
+        delay = max(0.0, due - time.monotonic())
+        self._timer = asyncio.get_running_loop().call_later(delay, self._wake)
+
+    def _wake(self):
+        self._timer = None
+        now = time.monotonic()
+        effects = []
         for decision in self.decisions:
             due = decision.next_tick
             if due is not None and due <= now:
-                self.perform(decision.tick(now))
-        self._check_links(now)
-        self.on_tick(now)
+                effects += decision.tick(now)
+        self.perform(effects)
 
     def on_tick(self, now):
         """Is called at each tick."""
