--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -25,3 +25,12 @@
     When an operator publishes a version
     Then the accepted version is in force in every daemon
     And every promise is kept
+
+  @configuration
+  Scenario: A replaced agent learns the version while the log service is down
+    When an operator publishes a version
+    Then the accepted version is in force in every daemon
+    Given the log service is down
+    When agent-1 is replaced
+    Then the accepted version is in force in every daemon
+    And every promise is kept
--- a/tests/features/jobs.feature
+++ b/tests/features/jobs.feature
@@ -49,6 +49,35 @@
     Then every answer is of unknown outcome
     And every promise is kept
 
+  @at-most-once @whole-answer
+  Scenario: The coordinator is replaced under its name
+    When a job of 6 tasks of 3000 ms is submitted through entry-1
+    And 6 tasks have started
+    And the coordinator is replaced
+    And the same id is submitted through entry-2
+    Then every answer is of unknown outcome
+    And every promise is kept
+
+  @graceful-stop @own-answer
+  Scenario: The coordinator stops gracefully, and the caller repeats the id
+    When a job of 4 tasks of 100 ms is submitted through entry-1
+    And every caller is answered
+    And the coordinator is asked to stop
+    And the coordinator has ended well
+    And the same id is submitted through entry-2
+    Then every answer is complete
+    And every promise is kept
+
+  @graceful-stop
+  Scenario: The coordinator is asked to stop while its job runs
+    When a job of 8 tasks of 1500 ms is submitted through entry-1
+    And 8 tasks have started
+    And the coordinator is asked to stop
+    And the coordinator has ended well
+    And the same id is submitted through entry-2
+    Then every answer is complete
+    And every promise is kept
+
   @at-most-once @whole-answer @not-run
   Scenario: The coordinator is frozen past every timeout and goes on
     When a job of 12 tasks of 1000 ms is submitted through entry-1
@@ -112,3 +141,11 @@
     And the same id is submitted through entry-2
     Then every answer is complete
     And every promise is kept
+
+  @whole-answer @at-most-once
+  Scenario: An agent is replaced while the log service is down
+    Given the log service is down
+    When agent-1 is replaced
+    And a job of 8 tasks of 200 ms is submitted through entry-1
+    Then every answer is complete
+    And every promise is kept
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -50,6 +50,7 @@
         self._history = History(self._directory / "harness.history")
         self._stand_ins = StandIns(self._directory)
         self._processes = {}
+        self._settings = {}
         self._watcher = None
 
     @property
@@ -116,6 +117,13 @@
         self._history.record(ProcessEnded(process=name))
         self._processes[name].kill()
 
+    def replace(self, name):
+        """Kills an agent and starts it again under its name and addresses."""
+        self.kill(name)
+        self._processes[name].close()
+        self._launch_daemon(name)
+        self._wait_ready(name)
+
     def freeze(self, name):
         """Stops a process where it is."""
         self._history.record(ProcessPaused(process=name))
@@ -179,10 +187,15 @@
                 self._record_published(record["offset"], accepted=False)
 
     def shows_everywhere(self, offset):
-        """Whether every daemon was seen with this version or a later one."""
-        events = [e for e in self.events if isinstance(e, ConfigurationInForce)]
-        names = {event.process for event in events if event.offset >= offset}
-        return names == set(self.daemons)
+        """Whether every daemon was last seen with this version or a later one."""
+        shown = dict.fromkeys(self.daemons, -1)
+        for event in self.events:
+            match event:
+                case ProcessStarted(process=name):
+                    shown[name] = -1
+                case ConfigurationInForce(process=name):
+                    shown[name] = event.offset
+        return min(shown.values()) >= offset
 
     # Checks.
 
@@ -215,12 +228,13 @@
         self._launch(LOG_SERVICE, self._stand_ins.launch(LOG_SERVICE)).wait_ready()
         peers = {name: pick_address() for name in self.layout.entry_names}
         for name, address in peers.items():
-            self._launch_daemon(name, peers, address=address)
+            self._configure(name, peers, address=address)
         for number in self.layout.agent_numbers:
-            self._launch_agent(number, peers)
+            self._configure_agent(number, peers)
+        for name in self.daemons:
+            self._launch_daemon(name)
         for name in self.daemons:
-            self._processes[name].wait_ready()
-            self._history.record(ProcessStarted(process=name))
+            self._wait_ready(name)
         servers = [self._launch_server(number) for number in self.layout.agent_numbers]
         for server in servers:
             server.wait_ready()
@@ -230,25 +244,32 @@
         self._processes[name] = process
         return process
 
-    def _launch_agent(self, number, peers):
-        listener = {"address": pick_address()}
+    def _configure_agent(self, number, peers):
+        listener = {"http": pick_address(), "address": pick_address()}
         if number in self.layout.proxied:
             name = f"proxy-{number}"
             proxy = self._stand_ins.launch("proxy", to=listener["address"])
             self._launch(name, proxy).wait_ready()
             listener["advertise"] = proxy.ready["address"]
-        self._launch_daemon(f"agent-{number}", peers, **listener)
+        self._configure(f"agent-{number}", peers, **listener)
 
-    def _launch_daemon(self, name, peers, **listener):
+    def _configure(self, name, peers, **listener):
         log_service = self._processes[LOG_SERVICE].ready["address"]
-        settings = write_settings(
+        self._settings[name] = write_settings(
             self._directory, name, self.layout, log_service, peers.values(), listener
         )
+
+    def _launch_daemon(self, name):
         role = name.partition("-")[0]
-        arguments = ["-m", "banyanwheel_daemon", role, "--settings", str(settings)]
+        settings = str(self._settings[name])
+        arguments = ["-m", "banyanwheel_daemon", role, "--settings", settings]
         process = Process(name, arguments, self._directory / f"{name}.err")
         return self._launch(name, process)
 
+    def _wait_ready(self, name):
+        self._processes[name].wait_ready()
+        self._history.record(ProcessStarted(process=name))
+
     def _launch_server(self, number):
         name = f"server-{number}"
         options = {
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -234,6 +234,11 @@
     world.cluster.kill(world.find(who))
 
 
+@when(parsers.parse("{who} is replaced"))
+def replace(world, who):
+    world.cluster.replace(world.find(who))
+
+
 @when(parsers.parse("{who} is frozen"))
 def freeze(world, who):
     world.cluster.freeze(world.find(who))
