--- /dev/null
+++ b/benchmarks/system.py
@@ -0,0 +1,147 @@
+"""A deployment as real processes: the cluster of the tests, with its sizes."""
+
+import dataclasses
+import json
+import os
+
+from tests.standins.cluster import Cluster
+from tests.standins.layout import Layout, write_settings
+from tests.standins.process import Process
+
+from .deployment import Deployment
+from .scrape import scrape
+
+__all__ = ["System", "Usage"]
+
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+MIB = 2**20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """Processor time in seconds and resident memory in MiB of a process."""
+
+    cpu_s: float
+    rss_mib: float
+
+    @classmethod
+    def of(cls, pid):
+        """Reads what a process has used so far."""
+        with open(f"/proc/{pid}/stat") as stream:
+            fields = stream.read().rpartition(")")[2].split()
+        with open(f"/proc/{pid}/statm") as stream:
+            pages = int(stream.read().split()[1])
+        ticks = int(fields[11]) + int(fields[12])
+        rss = pages * os.sysconf("SC_PAGE_SIZE") / MIB
+        return cls(ticks / TICKS_PER_SECOND, rss)
+
+
+class System(Cluster):
+    """Runs a deployment; ``choice`` names the placement policy of all agents.
+
+    With ``delays``, a proxy stands before each entry and each agent. With
+    ``histories``, backend servers record each task that they start.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        *,
+        choice="expected",
+        delays=True,
+        histories=False,
+    ):
+        agents = len(deployment.speed_factors)
+        layout = Layout(
+            entries=deployment.entries,
+            agents=agents,
+            data_centres=deployment.data_centres,
+            slots=deployment.slots,
+            proxied=frozenset(range(1, agents + 1) if delays else ()),
+            server={
+                "service": deployment.service,
+                "connections": deployment.connections,
+            },
+        )
+        super().__init__(layout)
+        self._deployment = deployment
+        self._choice = choice
+        self._delays = delays
+        self._histories = histories
+        self._doors = {}
+
+    @property
+    def doors(self):
+        """Addresses at which clients reach the entries, by name."""
+        return self._doors
+
+    def usage(self):
+        """Returns the Usage of each daemon by name."""
+        return {name: Usage.of(self.pid(name)) for name in self.daemons}
+
+    def configure(self):
+        """Publishes the deployment's configuration and waits until it is in force."""
+        operator = self.operator(self.layout.entry_names[0])
+        document = json.dumps(self._deployment.configuration())
+        operator.rows(f"reconfigure {document}")
+        self.wait_for(self._configured, "the configuration is not in force")
+
+    def _configured(self):
+        readings = [scrape([self.http(name)]) for name in self.daemons]
+        return all(each.gauges["configuration_offset"] >= 0 for each in readings)
+
+    def _start(self):
+        super()._start()
+        for name, address in self.entries.items():
+            self._doors[name] = self._open_door(name, address)
+        if self._delays:
+            self._delay()
+
+    def _open_door(self, name, address):
+        if not self._delays:
+            return address
+        proxy = self._stand_ins.launch("proxy", to=address)
+        door = f"door-of-{name}"
+        self._launch(door, proxy).wait_ready()
+        return proxy.ready["address"]
+
+    def _delay(self):
+        deployment = self._deployment
+        client_ms = deployment.client_delay_ms
+        for name in self._doors:
+            self.set_faults(
+                f"door-of-{name}",
+                delay_to_server_ms=client_ms,
+                delay_to_client_ms=client_ms,
+            )
+        for number in self.layout.agent_numbers:
+            self.set_faults(
+                f"proxy-{number}",
+                delay_to_server_ms=deployment.data_centre_delay_to_ms,
+                delay_to_client_ms=deployment.data_centre_delay_back_ms,
+            )
+
+    def _launch_daemon(self, name, peers, **listener):
+        log_service = self._processes["log_service"].ready["address"]
+        settings = write_settings(
+            self._directory, name, self.layout, log_service, peers.values(), listener
+        )
+        role = name.partition("-")[0]
+        module = ["-m", "benchmarks.instrumented", self._choice]
+        arguments = [*module, role, "--settings", str(settings)]
+        process = Process(name, arguments, self._directory / f"{name}.err")
+        return self._launch(name, process)
+
+    def _launch_server(self, number):
+        name = f"server-{number}"
+        history = self._directory / f"{name}.history"
+        options = {
+            "name": name,
+            "agent": self.http(f"agent-{number}"),
+            "history": history if self._histories else os.devnull,
+            "slots": self.layout.slots,
+            "speed_factor": self._deployment.speed_factors[number - 1],
+            **self.layout.server,
+        }
+        server = self._stand_ins.launch("backend_server", **options)
+        return self._launch(name, server)
