--- a/benchmarks/arrivals.py
+++ b/benchmarks/arrivals.py
@@ -51,7 +51,8 @@
 
     ``due`` is in seconds from the start of the plan, ``lag_ms`` the delay of this
     process in sending it, ``response_ms`` counted from when it was due, ``run_ms``
-    the longest run time of its tasks at the speed factor 1.
+    the longest run time of its tasks at the speed factor 1. ``workers`` names the
+    agent of each task of a completed job.
     """
 
     kind: str
@@ -64,6 +65,7 @@
     reason: str = ""
     outcome: str = ""
     detail: str = ""
+    workers: tuple[str, ...] = ()
 
 
 class _Arrival(msgspec.Struct, frozen=True):
@@ -116,7 +118,8 @@
                 status=status,
                 reason=told.get("reason", ""),
                 outcome=told.get("outcome", ""),
-                detail=told.get("detail", "") if status != 200 else "",
+                detail=told.get("detail", ""),
+                workers=tuple(told.get("workers", ())),
             )
         )
 
--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -74,6 +74,10 @@
         """The smallest speed factor."""
         return min(self.speed_factors)
 
+    def factor(self, agent):
+        """The speed factor of the backend server beside the agent ``agent-N``."""
+        return self.speed_factors[int(agent.rpartition("-")[2]) - 1]
+
     def kind(self, name):
         """Returns the kind of work with this name."""
         return next(kind for kind in self.kinds if kind.name == name)
--- a/benchmarks/experiments.py
+++ b/benchmarks/experiments.py
@@ -5,10 +5,11 @@
 
 from tests.standins.history import TaskStarted
 
-from .measures import refusals, summary
+from .measures import placements, refusals, summary
 from .scrape import Messages, scrape
 from .sending import Sending, base_streams, flood_stream
 from .system import System
+from .variant import UNCHANGED
 
 __all__ = ["failing_run", "flood_run", "steady_run"]
 
@@ -17,10 +18,10 @@
 FAILING_NUMBER = 1
 
 
-def steady_run(deployment, load, seconds, seed, *, delays, choice="expected"):
+def steady_run(deployment, load, seconds, seed, *, delays, variant=UNCHANGED):
     """Sends at a steady load; measures after a warm-up."""
     begin, end = WARM_UP_S, WARM_UP_S + seconds
-    with System(deployment, choice=choice, delays=delays) as system:
+    with System(deployment, variant=variant, delays=delays) as system:
         system.configure()
         streams = base_streams(deployment, load, end, seed)
         sending = Sending(deployment, system.doors.values(), [streams])
@@ -31,20 +32,25 @@
     tasks = sum(s.tasks for s in samples if begin <= s.due < end)
     return {
         "experiment": "steady",
-        "choice": choice,
+        "variant": str(variant),
         "load": load,
         **_setting(seconds, seed, delays),
         **measured,
+        "placements": placements(
+            deployment, samples, begin, end, deployment.round_trips_ms(delays)
+        ),
         **window.figures(tasks),
     }
 
 
-def flood_run(deployment, kind, load, factor, seconds, seed, *, delays):
+def flood_run(
+    deployment, kind, load, factor, seconds, seed, *, delays, variant=UNCHANGED
+):
     """Floods with one kind between two phases of a steady load."""
     begin = WARM_UP_S
     flood_begin, flood_end = begin + seconds, begin + 2 * seconds
     end = flood_end + seconds
-    with System(deployment, delays=delays) as system:
+    with System(deployment, variant=variant, delays=delays) as system:
         system.configure()
         base = base_streams(deployment, load, end, seed)
         flooding = flood_stream(
@@ -61,6 +67,7 @@
     measured = _measured(deployment, samples, phases, delays)
     return {
         "experiment": f"flood of {kind.name}",
+        "variant": str(variant),
         "load": load,
         "factor": factor,
         **_setting(seconds, seed, delays),
@@ -70,10 +77,10 @@
     }
 
 
-def failing_run(deployment, load, seconds, seed, *, delays):
+def failing_run(deployment, load, seconds, seed, *, delays, variant=UNCHANGED):
     """Lets one of the fastest workers fail all that it starts."""
     begin, end = WARM_UP_S, WARM_UP_S + seconds
-    with System(deployment, delays=delays, histories=True) as system:
+    with System(deployment, variant=variant, delays=delays, histories=True) as system:
         system.configure()
         streams = base_streams(deployment, load, end, seed)
         sending = Sending(deployment, system.doors.values(), [streams])
@@ -85,6 +92,7 @@
     phases = {"warm-up": (0.0, begin), "failing": (begin, end)}
     return {
         "experiment": "failing worker",
+        "variant": str(variant),
         "load": load,
         **_setting(seconds, seed, delays),
         **_measured(deployment, samples, phases, delays),
--- a/benchmarks/instrumented.py
+++ b/benchmarks/instrumented.py
@@ -1,19 +1,19 @@
 """Runs ``banyanwheeld`` with its messages counted by type.
 
-``python -m benchmarks.instrumented CHOICE ROLE --settings FILE``. CHOICE names the
-placement policy of an agent. The counts are in the metrics under
-``banyanwheel.sent``, with the type as the reason.
+``python -m benchmarks.instrumented VARIANT ROLE --settings FILE``. VARIANT is the
+text of a :class:`Variant`. The counts are in the metrics under ``banyanwheel.sent``,
+with the type as the reason.
 """
 
 import sys
-from functools import partial
 
 from banyanwheel_core.messages import MemberRecord, Reserve
-from banyanwheel_core.placement import Placement
 from banyanwheel_daemon import agent
 from banyanwheel_daemon.__main__ import run
 from banyanwheel_daemon.node import Node
 
+from .variant import Variant
+
 __all__ = ["main"]
 
 COUNTER = "banyanwheel.sent"
@@ -40,8 +40,8 @@
 
 def main(arguments):
     """Runs the daemon with the counters in place."""
-    choice, *rest = arguments
-    agent.Placement = partial(Placement, choice=choice)
+    variant, *rest = arguments
+    Variant.parse(variant).apply(agent)
     agent.MemberRecord = _plain_record
     _count_messages()
     sys.argv[1:] = rest
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -1,4 +1,4 @@
-"""Load tool: ``python -m benchmarks.load steady|flood|failing|placement``."""
+"""Load tool: ``python -m benchmarks.load steady|flood|failing``."""
 
 import sys
 from pathlib import Path
@@ -11,6 +11,7 @@
 from .deployment import Deployment
 from .experiments import failing_run, flood_run, steady_run
 from .tables import show
+from .variant import Variant
 
 __all__ = ["app"]
 
@@ -22,6 +23,12 @@
 Seed = Annotated[int, typer.Option(help="seed of the arrivals")]
 Runs = Annotated[int, typer.Option(help="repetitions, each with the next seed")]
 Delays = Annotated[bool, typer.Option(help="network delays by proxies")]
+Variants = Annotated[
+    list[str],
+    typer.Option(
+        "--variant", help="choice=random,samples=9,module.NAME=1; each in turn"
+    ),
+]
 Save = Annotated[Path | None, typer.Option(help="file for the results as JSON")]
 
 
@@ -33,14 +40,15 @@
     seed: Seed = 1,
     runs: Runs = 1,
     delays: Delays = True,
-    choice: str = "expected",
+    variants: Variants = ("",),
     save: Save = None,
 ):
     """Measures response times and messages at a steady load."""
     settings = Deployment.from_name(deployment)
     results = [
-        steady_run(settings, load, seconds, seed + run, delays=delays, choice=choice)
+        steady_run(settings, load, seconds, seed + run, delays=delays, variant=variant)
         for run in range(runs)
+        for variant in map(Variant.parse, variants)
     ]
     _report(results, save)
 
@@ -57,6 +65,7 @@
     seed: Seed = 1,
     runs: Runs = 1,
     delays: Delays = False,
+    variants: Variants = ("",),
     save: Save = None,
 ):
     """Measures what other work keeps before, during and after a flood."""
@@ -67,8 +76,18 @@
     }
     flooding = settings.kind(names[kind])
     results = [
-        flood_run(settings, flooding, load, factor, seconds, seed + run, delays=delays)
+        flood_run(
+            settings,
+            flooding,
+            load,
+            factor,
+            seconds,
+            seed + run,
+            delays=delays,
+            variant=variant,
+        )
         for run in range(runs)
+        for variant in map(Variant.parse, variants)
     ]
     _report(results, save)
 
@@ -81,33 +100,15 @@
     seed: Seed = 1,
     runs: Runs = 1,
     delays: Delays = False,
+    variants: Variants = ("",),
     save: Save = None,
 ):
     """Measures how many tasks reach a worker that fails all of them."""
     settings = Deployment.from_name(deployment)
     results = [
-        failing_run(settings, load, seconds, seed + run, delays=delays)
-        for run in range(runs)
-    ]
-    _report(results, save)
-
-
-@app.command()
-def placement(
-    deployment: Name = "magnolia-ridge",
-    load: Load = 0.7,
-    seconds: Seconds = 10.0,
-    seed: Seed = 1,
-    runs: Runs = 2,
-    delays: Delays = False,
-    save: Save = None,
-):
-    """Compares the placement policies, in turn under the same arrivals."""
-    settings = Deployment.from_name(deployment)
-    results = [
-        steady_run(settings, load, seconds, seed + run, delays=delays, choice=choice)
+        failing_run(settings, load, seconds, seed + run, delays=delays, variant=variant)
         for run in range(runs)
-        for choice in ("expected", "outstanding", "random")
+        for variant in map(Variant.parse, variants)
     ]
     _report(results, save)
 
--- a/benchmarks/measures.py
+++ b/benchmarks/measures.py
@@ -4,7 +4,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-__all__ = ["KindMeasure", "refusals", "summary"]
+__all__ = ["KindMeasure", "placements", "refusals", "summary"]
 
 SCALE = 1_000  # histograms hold whole thousandths
 HIGHEST = 3_600_000 * SCALE
@@ -81,6 +81,34 @@
     return dict(sorted(measures.items()))
 
 
+def placements(deployment, samples, begin, end, network_ms):
+    """Returns for single-task jobs the share and the other time by speed factor.
+
+    The other time is the response less the run time there and the network's
+    ``network_ms``: waiting for a slot, and what the processes take.
+    """
+    by_factor = {}
+    for sample in samples:
+        if len(sample.workers) != 1 or not begin <= sample.due < end:
+            continue
+        factor = deployment.factor(sample.workers[0])
+        other_ms = sample.response_ms - sample.run_ms * factor - network_ms
+        by_factor.setdefault(factor, []).append(other_ms)
+    total = sum(map(len, by_factor.values()))
+    return {
+        factor: {"share": round(len(others) / total, 3), **_percentiles(others)}
+        for factor, others in sorted(by_factor.items())
+    }
+
+
+def _percentiles(values):
+    ordered = sorted(values)
+    return {
+        f"other_p{percent}_ms": round(ordered[len(ordered) * percent // 100], 1)
+        for percent in (50, 90, 99)
+    }
+
+
 def refusals(samples, begin, end, network_ms):
     """Returns by reason the count and the time in ms from the sending to a refusal.
 
--- a/benchmarks/system.py
+++ b/benchmarks/system.py
@@ -10,6 +10,7 @@
 
 from .deployment import Deployment
 from .scrape import scrape
+from .variant import UNCHANGED
 
 __all__ = ["System", "Usage"]
 
@@ -37,7 +38,7 @@
 
 
 class System(Cluster):
-    """Runs a deployment; ``choice`` names the placement policy of all agents.
+    """Runs a deployment; ``variant`` says what differs in its daemons.
 
     With ``delays``, a proxy stands before each entry and each agent. With
     ``histories``, backend servers record each task that they start.
@@ -47,7 +48,7 @@
         self,
         deployment: Deployment,
         *,
-        choice="expected",
+        variant=UNCHANGED,
         delays=True,
         histories=False,
     ):
@@ -65,7 +66,7 @@
         )
         super().__init__(layout)
         self._deployment = deployment
-        self._choice = choice
+        self._variant = variant
         self._delays = delays
         self._histories = histories
         self._doors = {}
@@ -135,7 +136,7 @@
             self._directory, name, self.layout, log_service, peers.values(), listener
         )
         role = name.partition("-")[0]
-        module = ["-m", "benchmarks.instrumented", self._choice]
+        module = ["-m", "benchmarks.instrumented", str(self._variant)]
         arguments = [*module, role, "--settings", str(settings)]
         process = Process(name, arguments, self._directory / f"{name}.err")
         return self._launch(name, process)
--- a/benchmarks/tables.py
+++ b/benchmarks/tables.py
@@ -15,7 +15,7 @@
     "response_p99_ms",
 )
 SCALARS = (
-    "choice",
+    "variant",
     "load",
     "factor",
     "seconds",
@@ -35,7 +35,7 @@
         faults = {k: m["not_completed"] for k, m in kinds.items() if m["not_completed"]}
         if faults:
             console.print(f"not completed, {phase}: {faults}")
-    for key in ("refusals", "kept", "share_of_starts"):
+    for key in ("refusals", "kept", "share_of_starts", "placements"):
         for name, value in result.get(key, {}).items():
             if value:
                 console.print(f"{key}, {name}: {value}")
