--- a/benchmarks/arrivals.py
+++ b/benchmarks/arrivals.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 import msgspec
-from tornado.httpclient import HTTPRequest
+from tornado.httpclient import HTTPClientError, HTTPRequest
 from tornado.netutil import Resolver
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
@@ -136,10 +136,8 @@
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
-        except OSError as error:
+        except (OSError, HTTPClientError) as error:
             return 0, {"reason": type(error).__name__}
-        if response.code == 599:
-            return 0, {"reason": "client-timeout"}
         return response.code, msgspec.json.decode(response.body)
 
     def _job(self, arrival):
--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -14,6 +14,7 @@
 Positive = Annotated[float, Meta(gt=0)]
 Count = Annotated[int, Meta(ge=1)]
 Delay = Annotated[int, Meta(ge=0)]  # milliseconds, one way
+Slots = Annotated[int, Meta(ge=0)]
 
 
 class Kind(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -36,12 +37,20 @@
         """Mean run time of a task."""
         return (self.shortest_ms + self.longest_ms) / 2
 
+    def stretched(self, factor):
+        """Returns this kind with its run times multiplied."""
+        return msgspec.structs.replace(
+            self,
+            shortest_ms=round(self.shortest_ms * factor),
+            longest_ms=round(self.longest_ms * factor),
+        )
+
 
 class Deployment(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Sizes, delays and work of one user's system.
 
     A speed factor multiplies the run times at one backend server; there are as many
-    workers as speed factors.
+    workers as speed factors. One flow leaves ``headroom_slots`` of each worker free.
     """
 
     service: str
@@ -57,6 +66,7 @@
     most_urgent: str
     least_urgent: str
     kinds: tuple[Kind, ...]
+    headroom_slots: Slots = 1
 
     @classmethod
     def from_name(cls, name):
@@ -74,6 +84,15 @@
         """The smallest speed factor."""
         return min(self.speed_factors)
 
+    def stretched(self, factor):
+        """Returns this deployment with all run times multiplied, and so fewer jobs."""
+        kinds = tuple(kind.stretched(factor) for kind in self.kinds)
+        return msgspec.structs.replace(self, kinds=kinds)
+
+    def with_headroom(self, slots):
+        """Returns this deployment with another headroom."""
+        return msgspec.structs.replace(self, headroom_slots=slots)
+
     def factor(self, agent):
         """The speed factor of the backend server beside the agent ``agent-N``."""
         return self.speed_factors[int(agent.rpartition("-")[2]) - 1]
@@ -94,5 +113,8 @@
         return 2 * self.client_delay_ms + between
 
     def configuration(self):
-        """Returns the operators' document: the weights of the kinds."""
-        return {"kinds": {kind.name: {"weight": kind.weight} for kind in self.kinds}}
+        """Returns the operators' document: weights of the kinds, and the headroom."""
+        return {
+            "kinds": {kind.name: {"weight": kind.weight} for kind in self.kinds},
+            "limits": {"headroom_slots": self.headroom_slots},
+        }
--- a/benchmarks/experiments.py
+++ b/benchmarks/experiments.py
@@ -16,6 +16,7 @@
 WARM_UP_S = 4.0
 EJECTION_S = 1.0  # after which a failing worker should get almost nothing
 FAILING_NUMBER = 1
+FLOOD_SENDERS = 3  # processes, so that none of them is the bottleneck
 
 
 def steady_run(deployment, load, seconds, seed, *, delays, variant=UNCHANGED):
@@ -34,7 +35,7 @@
         "experiment": "steady",
         "variant": str(variant),
         "load": load,
-        **_setting(seconds, seed, delays),
+        **_setting(deployment, seconds, seed, delays),
         **measured,
         "placements": placements(
             deployment, samples, begin, end, deployment.round_trips_ms(delays)
@@ -53,10 +54,20 @@
     with System(deployment, variant=variant, delays=delays) as system:
         system.configure()
         base = base_streams(deployment, load, end, seed)
-        flooding = flood_stream(
-            deployment, kind, factor, flood_begin, flood_end, seed + 100
-        )
-        sending = Sending(deployment, system.doors.values(), [base, [flooding]])
+        floods = [
+            [
+                flood_stream(
+                    deployment,
+                    kind,
+                    factor / FLOOD_SENDERS,
+                    flood_begin,
+                    flood_end,
+                    seed + 100 + number,
+                )
+            ]
+            for number in range(FLOOD_SENDERS)
+        ]
+        sending = Sending(deployment, system.doors.values(), [base, *floods])
         window = _Window(system, sending, flood_begin, flood_end)
         samples = sending.samples()
     phases = {
@@ -70,7 +81,8 @@
         "variant": str(variant),
         "load": load,
         "factor": factor,
-        **_setting(seconds, seed, delays),
+        "headroom_slots": deployment.headroom_slots,
+        **_setting(deployment, seconds, seed, delays),
         **measured,
         "kept": _kept(samples, phases, kind.name, deployment, delays),
         **window.figures(_tasks_started(window)),
@@ -94,7 +106,7 @@
         "experiment": "failing worker",
         "variant": str(variant),
         "load": load,
-        **_setting(seconds, seed, delays),
+        **_setting(deployment, seconds, seed, delays),
         **_measured(deployment, samples, phases, delays),
         "share_of_starts": {
             "first second": _share(starts, failing_since, failing_since + EJECTION_S),
@@ -154,8 +166,10 @@
     return int(window.readings.by_reason("sent").get("TaskResults", 0))
 
 
-def _setting(seconds, seed, delays):
+def _setting(deployment, seconds, seed, delays):
+    kinds = {k.name: [k.shortest_ms, k.longest_ms] for k in deployment.kinds}
     return {
+        "run_ms": kinds,
         "seconds": seconds,
         "seed": seed,
         "delays": delays,
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -20,6 +20,7 @@
 Name = Annotated[str, typer.Argument(help="settings file beside this module")]
 Load = Annotated[float, typer.Option(help="share of all slots that is asked for")]
 Seconds = Annotated[float, typer.Option(help="length of each measured phase")]
+Stretch = Annotated[float, typer.Option(help="multiplies all run times")]
 Seed = Annotated[int, typer.Option(help="seed of the arrivals")]
 Runs = Annotated[int, typer.Option(help="repetitions, each with the next seed")]
 Delays = Annotated[bool, typer.Option(help="network delays by proxies")]
@@ -36,6 +37,7 @@
 def steady(
     deployment: Name = "magnolia-ridge",
     load: Load = 0.7,
+    stretch: Stretch = 1.0,
     seconds: Seconds = 15.0,
     seed: Seed = 1,
     runs: Runs = 1,
@@ -44,7 +46,7 @@
     save: Save = None,
 ):
     """Measures response times and messages at a steady load."""
-    settings = Deployment.from_name(deployment)
+    settings = Deployment.from_name(deployment).stretched(stretch)
     results = [
         steady_run(settings, load, seconds, seed + run, delays=delays, variant=variant)
         for run in range(runs)
@@ -61,6 +63,8 @@
     ),
     load: Load = 0.5,
     factor: Annotated[float, typer.Option(help="flood over capacity")] = 5.0,
+    headroom: Annotated[list[int], typer.Option(help="slots; each in turn")] = (1,),
+    stretch: Stretch = 1.0,
     seconds: Seconds = 12.0,
     seed: Seed = 1,
     runs: Runs = 1,
@@ -69,7 +73,7 @@
     save: Save = None,
 ):
     """Measures what other work keeps before, during and after a flood."""
-    settings = Deployment.from_name(deployment)
+    settings = Deployment.from_name(deployment).stretched(stretch)
     names = {
         "least-urgent": settings.least_urgent,
         "most-urgent": settings.most_urgent,
@@ -77,7 +81,7 @@
     flooding = settings.kind(names[kind])
     results = [
         flood_run(
-            settings,
+            settings.with_headroom(slots),
             flooding,
             load,
             factor,
@@ -87,6 +91,7 @@
             variant=variant,
         )
         for run in range(runs)
+        for slots in headroom
         for variant in map(Variant.parse, variants)
     ]
     _report(results, save)
@@ -96,6 +101,7 @@
 def failing(
     deployment: Name = "magnolia-ridge",
     load: Load = 0.7,
+    stretch: Stretch = 1.0,
     seconds: Seconds = 15.0,
     seed: Seed = 1,
     runs: Runs = 1,
@@ -104,7 +110,7 @@
     save: Save = None,
 ):
     """Measures how many tasks reach a worker that fails all of them."""
-    settings = Deployment.from_name(deployment)
+    settings = Deployment.from_name(deployment).stretched(stretch)
     results = [
         failing_run(settings, load, seconds, seed + run, delays=delays, variant=variant)
         for run in range(runs)
--- a/benchmarks/tables.py
+++ b/benchmarks/tables.py
@@ -18,6 +18,8 @@
     "variant",
     "load",
     "factor",
+    "headroom_slots",
+    "run_ms",
     "seconds",
     "seed",
     "delays",
