--- a/packages/core/banyanwheel_core/language/builder.py
+++ b/packages/core/banyanwheel_core/language/builder.py
@@ -35,6 +35,8 @@
 
 __all__ = ["CommandBuilder"]
 
+MAX_NESTING = 100  # levels of arrays and objects in a JSON value
+MAX_DURATION_MS = 999_999_999_999
 UNITS_MS = {"ms": 1, "s": 1_000, "m": 60_000, "h": 3_600_000}
 
 
@@ -78,16 +80,19 @@
 
     def drain(self, kind, word):
         """``drain KIND NAME``."""
-        return Drain(kind, self._name(word))
+        return Drain(kind, self._name(kind, word))
 
     def undrain(self, kind, word):
         """``undrain KIND NAME``."""
-        return Undrain(kind, self._name(word))
+        return Undrain(kind, self._name(kind, word))
 
     def reconfigure(self, document, base):
         """``reconfigure JSON [from OFFSET]``."""
-        offset = None if base is None else int(base)
-        return Reconfigure(self._decode(document, dict), offset)
+        return Reconfigure(self._decode(document, dict), base)
+
+    def base(self, token):
+        """``from OFFSET``, or ``from -1``."""
+        return int(token)
 
     def place(self, token):
         """``worker``, ``rack`` or ``data-centre``."""
@@ -139,15 +144,29 @@
         milliseconds = Decimal(number) * UNITS_MS[unit]
         if milliseconds != int(milliseconds):
             raise self._error("a duration is whole milliseconds", token)
+        if milliseconds > MAX_DURATION_MS:
+            raise self._error(f"a duration has at most {MAX_DURATION_MS}ms", token)
         return Duration(int(milliseconds))
 
     def _decode(self, token, kind):
         try:
+            self._check_nesting(token)
             return msgspec.json.decode(str(token), type=kind)
         except msgspec.MsgspecError as error:
             raise self._error(str(error), token) from error
         except RecursionError as error:
-            raise self._error("the JSON nests too deeply", token) from error
+            raise self._too_deep(token) from error
+
+    def _check_nesting(self, token):
+        level = _containers([msgspec.json.decode(str(token))])
+        for _ in range(MAX_NESTING):
+            level = [part for value in level for part in _containers_in(value)]
+        if level:
+            raise self._too_deep(token)
+
+    def _too_deep(self, token):
+        message = f"the JSON nests more than {MAX_NESTING} levels deep"
+        return self._error(message, token)
 
     def _table(self, token):
         if token not in set(Table):
@@ -162,8 +181,9 @@
         except InvalidIdError as error:
             raise self._error(str(error), token) from error
 
-    def _name(self, token):
-        if re.fullmatch(NAME_PATTERN, token) is None:
+    def _name(self, kind, token):
+        names = token.split("/", 1) if kind is DrainKind.RACK else [token]
+        if any(re.fullmatch(NAME_PATTERN, name) is None for name in names):
             raise self._error("a name is lower-case letters, digits and -", token)
         return str(token)
 
@@ -182,3 +202,11 @@
 
     def _error(self, message, token, expected=()):
         return LanguageError(message, self._text, token.line, token.column, expected)
+
+
+def _containers_in(value):
+    return _containers(value.values() if isinstance(value, dict) else value)
+
+
+def _containers(values):
+    return [value for value in values if isinstance(value, dict | list)]
--- a/packages/daemon/banyanwheel_daemon/operations.py
+++ b/packages/daemon/banyanwheel_daemon/operations.py
@@ -7,8 +7,10 @@
 
 import msgspec
 
-from banyanwheel_core.errors import BanyanwheelError
+from banyanwheel_core.documents import Document
+from banyanwheel_core.errors import BanyanwheelError, FindingsError
 from banyanwheel_core.language import (
+    COLUMNS,
     CancelJob,
     CancelJobs,
     Drain,
@@ -149,7 +151,7 @@
         """Executes a command.
 
         Raises OperationError where it failed, LanguageError where a filter does not
-        fit the rows.
+        fit the rows, FindingsError with every fault of a configuration.
         """
         match command:
             case Show():
@@ -179,7 +181,9 @@
             inspection = Inspection(_flow_rows(jobs.rows), jobs.silent)
         else:
             inspection = await self._desk.inspect(show.table)
-        return Reply(tuple(select(show, inspection.rows)), inspection.silent)
+        chosen = select(show, inspection.rows)
+        rows = tuple(_in_column_order(show.table, row) for row in chosen)
+        return Reply(rows, inspection.silent)
 
     async def _cancel_jobs(self, where):
         inspection = await self._desk.inspect(Table.JOBS)
@@ -225,6 +229,7 @@
     async def _reconfigure(self, document, base):
         if base is None:
             base, _ = self._desk.configuration()
+        Document.from_json(msgspec.json.encode(document))
         verdict = await self._desk.publish(document, base)
         match verdict:
             case Published(offset):
@@ -251,6 +256,8 @@
         except LanguageError as error:
             detail = f"{error.sentence}\n{error.excerpt}"
             raise ProblemError(Reason.MALFORMED, detail, place=error.place) from error
+        except FindingsError as error:
+            raise ProblemError.from_findings(error.findings) from error
         except OperationError as error:
             self.write_problem(error.problem)
         else:
@@ -307,6 +314,11 @@
     return {"kind": str(kind), "name": name, "result": result, "offset": offset}
 
 
+def _in_column_order(table, row):
+    names = [column.name for column in COLUMNS[table] if column.name in row]
+    return {name: row[name] for name in names} | row
+
+
 def _flow_rows(jobs):
     flows = {}
     for job in jobs:
--- a/tests/client/test_commands.py
+++ b/tests/client/test_commands.py
@@ -5,9 +5,16 @@
 import time
 
 import pytest
+from prompt_toolkit.application import create_app_session
+from prompt_toolkit.completion import CompleteEvent
+from prompt_toolkit.document import Document
+from prompt_toolkit.input import create_pipe_input
+from prompt_toolkit.output import DummyOutput
 
 from banyanwheel_client.__main__ import main
+from banyanwheel_client.cli.prompt import LanguageCompleter
 from banyanwheel_client.status import ExitStatus
+from banyanwheel_core.language import parse
 from tests.client.fake_entry import (
     JOB,
     JOB_ID,
@@ -18,7 +25,11 @@
     refusal,
 )
 
-ROWS = ('{"worker": "gulf-1", "slots": 8}', '{"worker": "gulf-2", "state": "[x]"}')
+ROWS = (
+    '{"worker": "gulf-1", "slots": 8}',
+    '{"why": "' + "y" * 200 + '"}',
+    '{"worker": "gulf-2", "state": "[x]"}',
+)
 PROGRAM = f"""
 import sys
 sys.path[:0] = {sys.path!r}
@@ -39,11 +50,10 @@
         (["cancel", "jobs", "where", "kind=price"], 'cancel jobs where kind = "price"'),
         (["drain", "rack", "r-1"], "drain rack r-1"),
         (["undrain", "data-centre", "cairns"], "undrain data-centre cairns"),
-        (["reconfigure", "-", "--from", "7"], 'reconfigure {"a":1} from 7'),
     ],
 )
 def test_subcommands_send_the_language(tmp_path, entry, jobs, arguments, text):
-    env = environment(tmp_path, stdin='{"a": 1}')
+    env = environment(tmp_path)
     status = main([*arguments, "--entry", entry(rows=ROWS).url], env)
     assert status is ExitStatus.OK
     assert jobs.commands == [text]
@@ -52,10 +62,39 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ("name", "text"),
+    [
+        ("new.toml", "[limits]\nmax_tasks = 5\n"),
+        ("new.json", '{"limits": {"max_tasks": 5}}'),
+    ],
+)
+def test_a_configuration_file_is_published(tmp_path, entry, jobs, name, text):
+    path = tmp_path / name
+    path.write_text(text)
+    env = environment(tmp_path)
+    arguments = ["reconfigure", str(path), "--from", "-1", "--entry", entry().url]
+    assert main(arguments, env) is ExitStatus.OK
+    command = parse(jobs.commands[0])
+    assert (command.base, command.document["limits"]["max_tasks"]) == (-1, 5)
+
+
+def test_all_faults_of_a_configuration_file_are_told_with_their_lines(tmp_path, entry):
+    path = tmp_path / "new.toml"
+    path.write_text("[limits]\nmax_tasks = 0\n\n[drains]\nwokers = []\n")
+    env = environment(tmp_path)
+    arguments = ["reconfigure", str(path), "--entry", entry().url]
+    assert main(arguments, env) is ExitStatus.USAGE
+    assert f"{path}:2" in env.stderr.getvalue()
+    assert f"{path}:5" in env.stderr.getvalue()
+
+
 def test_a_person_sees_a_table(tmp_path, entry):
     env = environment(tmp_path, terminal=True)
     assert main(["show", "workers", "--entry", entry(rows=ROWS).url], env) == 0
-    assert all(word in env.stdout.getvalue() for word in ("worker", "gulf-2", "[x]"))
+    assert all(
+        word in env.stdout.getvalue() for word in ("worker", "gulf-2", "[x]", "y" * 200)
+    )
 
 
 def test_members_that_did_not_answer_are_named(tmp_path, entry):
@@ -105,17 +144,47 @@
     assert env.stderr.getvalue().count("\n") == 1
 
 
-def test_an_interrupted_submission_names_the_job(entry, jobs, tmp_path):
-    url = entry(after=[hang]).url
-    job = tmp_path / "job.json"
-    job.write_text(JOB)
-    arguments = ["submit", str(job), "--entry", url, "--try-timeout", "60"]
+def test_a_person_gets_a_prompt_with_history(tmp_path, entry, jobs):
+    env = environment(tmp_path, terminal=True)
+    env.stdin.isatty = lambda: True
+    arguments = ["prompt", "--entry", entry(rows=ROWS).url]
+    with create_pipe_input() as keys, create_app_session(keys, DummyOutput()):
+        keys.send_text("show knid\rshow members\r\x04")
+        assert main(arguments, env) is ExitStatus.OK
+    assert jobs.commands == ["show members"]
+    assert "show knid\n     ^" in env.stderr.getvalue()
+    assert "+show knid" in (tmp_path / "history").read_text()
+
+
+def test_the_prompt_completes_the_word_at_the_cursor():
+    document = Document("drain data-c")
+    (completion,) = LanguageCompleter().get_completions(document, CompleteEvent())
+    assert completion.text == "data-centre"
+    assert completion.start_position == -len("data-c")
+
+
+@pytest.mark.parametrize(
+    ("lines", "words"),
+    [
+        (f"submit {JOB}", f"{JOB_ID.format(1)}: interrupted, outcome unknown"),
+        ("drain rack r-1", "banyanwheel: interrupted, outcome unknown"),
+        ("show jobs", "banyanwheel: interrupted, nothing took effect"),
+    ],
+)
+def test_an_interrupted_script_stops_and_tells_the_outcome(entry, jobs, lines, words):
+    arguments = ["prompt", "--entry", entry(after=[hang]).url, "--try-timeout", "60"]
     child = subprocess.Popen(
-        [sys.executable, "-c", PROGRAM, *arguments], stderr=subprocess.PIPE, text=True
+        [sys.executable, "-c", PROGRAM, *arguments],
+        stdin=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
     )
-    while not jobs.bodies and child.poll() is None:
+    child.stdin.write(f"{lines}\ncancel jobs where kind = price\n")
+    child.stdin.flush()
+    while not jobs.bodies and not jobs.commands and child.poll() is None:
         time.sleep(0.01)
     child.send_signal(signal.SIGINT)
     _, errors = child.communicate(timeout=60)
     assert child.returncode == ExitStatus.INTERRUPTED
-    assert f"{JOB_ID.format(1)}: interrupted, outcome unknown" in errors
+    assert words in errors
+    assert len(jobs.commands) + len(jobs.bodies) == 1
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -4,6 +4,7 @@
 import pytest
 
 from banyanwheel_core.announcements import AnnouncementSchedule
+from banyanwheel_core.effects import Peer
 from banyanwheel_core.membership import Membership
 from banyanwheel_core.messages import KnownMember, MemberRecord, MembersReply
 
@@ -72,6 +73,7 @@
 
 
 def test_a_reader_that_starts_in_such_an_outage_knows_the_members(view):
+    view.apply(member("self"), -1, 0, now=0)
     view.apply(member("a"), 0, 3_600_000, now=0)
     view.apply(member("b"), 1, 3_590_000, now=0)
     assert view.tick(0) == ()
@@ -96,6 +98,18 @@
     assert view.departed("a", "2") is None
 
 
+def test_kept_answers_are_followed_through_replacements_under_the_same_names(view):
+    view.apply(member("a", "1", leaving=True), 0, 0, now=0)
+    view.apply(member("a", "1", leaving=True, successor="b.1"), 1, 0, now=1)
+    view.apply(member("a", "2"), 2, 0, now=2)
+    view.apply(member("b", "1", leaving=True, successor="c"), 3, 0, now=3)
+    view.apply(member("b", "2"), 4, 0, now=4)
+    assert view.holder(Peer("a", "1")) is None
+    view.apply(member("c", "1"), 5, 0, now=5)
+    assert view.holder(Peer("a", "1")) == Peer("c", "1")
+    assert view.holder(Peer("a", "2")) == Peer("a", "2")
+
+
 def test_a_peer_teaches_newcomers_and_never_overrides_newer_knowledge(view):
     view.log_lost(0)
     view.apply(member("a", "2"), 9, 0, now=0)
--- a/tests/daemon/test_operations.py
+++ b/tests/daemon/test_operations.py
@@ -41,7 +41,7 @@
 def job_row(job_id, kind="price"):
     flow = {"service": "counter", "subsidiary": "south", "kind": kind}
     counts = {"waiting": 2, "running": 1}
-    return {"job": job_id, "coordinator": "gulf-1", **flow, **counts}
+    return {"extra": 1, "coordinator": "gulf-1", **counts, **flow, "job": job_id}
 
 
 class FakeDesk:
@@ -92,10 +92,13 @@
     return asyncio.run(operations.execute(parse(text)))
 
 
-def test_rows_are_filtered_and_silent_members_told():
+def test_rows_are_filtered_in_column_order_and_silent_members_told():
     desk = FakeDesk(silent=("gulf-2",))
     reply = execute(desk, "show jobs where kind = other")
-    assert [row["kind"] for row in reply.rows] == ["other"]
+    (row,) = reply.rows
+    assert row["kind"] == "other"
+    assert [*row][:3] == ["job", "service", "subsidiary"]
+    assert [*row][-1] == "extra"
     assert reply.silent == ("gulf-2",)
 
 
@@ -213,6 +216,7 @@
         (b"show \xff", "text/plain", 400, {"reason": "malformed"}),
         ("show jobs", "application/json", 415, {"reason": "wrong-content-type"}),
         ("show jobs" + " " * 2000, "text/plain", 413, {"reason": "too-large"}),
+        ('reconfigure {"kinds": 3}', "text/plain", 400, {"place": "kinds"}),
         ("reconfigure {} from 3", "text/plain", 409, {"outcome": "not-run"}),
     ],
 )
