--- a/benchmarks/scrape.py
+++ b/benchmarks/scrape.py
@@ -42,6 +42,9 @@
         gauges.subtract(earlier.gauges)
         return Readings(+counters, gauges)
 
+    def __add__(self, other):
+        return Readings(self.counters + other.counters, self.gauges + other.gauges)
+
     def by_reason(self, name):
         """Returns a counter's amounts by reason."""
         return {
