Compare workers by a pooled pace, keep fewer notices, and pass inherited answers on

Cause: run times per worker and kind from few tasks of varying length placed by noise; an entry's report of a full agent never expired; a successor that left did not pass on the answers it had inherited; drained and leaving workers got the same refusal; a conflict closed the log action of the running job.

--- a/packages/core/banyanwheel_core/answers.py
+++ b/packages/core/banyanwheel_core/answers.py
@@ -26,7 +26,7 @@
 
     def __init__(self, message):
         self._missing = set(range(message.parts))
-        self._blocks = frozenset(message.blocks)
+        self.blocks = message.blocks
         self.answers = {}
 
     @property
@@ -47,7 +47,7 @@
         the answers of older blocks may have been forgotten by then.
         """
         known = str(job_id) in self.answers
-        return self.whole and job_id.block in self._blocks and not known
+        return self.whole and job_id.block in self.blocks and not known
 
 
 class AnswerStore:
@@ -90,15 +90,16 @@
         self._size -= self._kept.pop(job_id).size
 
     def parts(self, identity, blocks):
-        """Returns the messages that hand every kept answer to a successor."""
-        answers = [(kept.fingerprint, kept.answer) for kept in self._kept.values()]
-        starts = range(0, len(answers) or 1, HANDOVER_PART)
-        parts = [tuple(answers[start : start + HANDOVER_PART]) for start in starts]
-        name, incarnation = identity.name, identity.incarnation
-        return [
-            Handover(name, incarnation, number, len(parts), blocks, part)
-            for number, part in enumerate(parts)
-        ]
+        """Returns the messages that hand every answer held to a successor.
+
+        Answers inherited from coordinators that left before go along, each under its
+        own coordinator.
+        """
+        messages = _parts(identity, blocks, self._kept)
+        for owner, inheritance in self._handed.items():
+            if inheritance.whole:
+                messages += _parts(owner, inheritance.blocks, inheritance.answers)
+        return messages
 
     def inherit(self, owner, message, now):
         """Takes in a part of a handover; tells whether all parts are here."""
@@ -115,3 +116,13 @@
         """Tells whether a coordinator that left never accepted this id."""
         inheritance = self._handed.get(job_id.coordinator)
         return inheritance is not None and inheritance.never_submitted(job_id)
+
+
+def _parts(owner, blocks, kept_by_id):
+    answers = [(kept.fingerprint, kept.answer) for kept in kept_by_id.values()]
+    starts = range(0, len(answers) or 1, HANDOVER_PART)
+    parts = [tuple(answers[start : start + HANDOVER_PART]) for start in starts]
+    return [
+        Handover(owner.name, owner.incarnation, number, len(parts), blocks, part)
+        for number, part in enumerate(parts)
+    ]
--- a/packages/core/banyanwheel_core/coordinator.py
+++ b/packages/core/banyanwheel_core/coordinator.py
@@ -178,6 +178,7 @@
         if job.spec.idempotent:
             self._budget.earn()
         queue = self._dispatcher.queue(job.spec.flow)
+        self._placement.declared(job.spec.flow, job.spec.tasks[0].declared_ms)
         for index in range(len(job.tasks)):
             queue.add(job.spec.needs, (job_id, index))
         return self._dispatcher.place(job.spec.flow, now)
@@ -248,6 +249,8 @@
             detail = "no worker has the memory or accelerators that the tasks need"
             return Reason.NEVER_RUNNABLE, detail, 0
         if not self._dispatcher.executors(spec.service):
+            if all(self._policy.drains.covers(member) for member in members):
+                return Reason.DRAINING, "every worker is drained", QUEUE_RETRY_MS
             return Reason.NO_WORKER, "every worker is leaving", QUEUE_RETRY_MS
         return None
 
@@ -550,8 +553,6 @@
 
     def _take_over(self, sender, message, now):
         owner = Peer(message.name, message.incarnation)
-        if sender != owner:
-            return []
         if not self._answers.inherit(owner, message, now):
             return []
         return [Send(sender, HandoverTaken(message.incarnation))]
--- a/packages/core/banyanwheel_core/entry.py
+++ b/packages/core/banyanwheel_core/entry.py
@@ -26,6 +26,8 @@
 
 __all__ = ["Entry", "EntryLimits", "NoIdsError"]
 
+SAMPLES = 4  # coordinators compared for one job
+REPORT_VALID_SECONDS = 1.0  # an older report of a load counts as none
 MOVABLE = {Reason.STOPPING, Reason.TABLE_FULL, Reason.UNKNOWN_ID, Reason.NO_WORKER}
 
 
@@ -55,6 +57,16 @@
     requested_at: float | None = None
 
 
+@dataclass(slots=True)
+class _Report:
+    """The last load of an agent, less what was sent there since."""
+
+    free_slots: int
+    queued_ms: int
+    pace: float
+    at: float
+
+
 @dataclass(slots=True)
 class _Pending:
     """A caller's request that waits for an answer."""
@@ -114,9 +126,9 @@
         """Puts the operators' bounds on submissions in force."""
         self._policy = policy
 
-    def loaded(self, name, load):
+    def loaded(self, name, load, now):
         """Takes in a load that an agent reported."""
-        self._loads[name] = load
+        self._loads[name] = _Report(load.free_slots, load.queued_ms, load.pace, now)
 
     def take_ids(self, count, now):
         """Returns ids for a caller that submits later; raises NoIdsError."""
@@ -230,7 +242,7 @@
         return []
 
     def _take_id(self, now):
-        """Takes an id of the less loaded of two coordinators with ids."""
+        """Takes an id of the least loaded in a sample of coordinators with ids."""
         self._drop_stale(now)
         usable = [
             peer
@@ -239,21 +251,23 @@
         ]
         if not usable:
             raise NoIdsError("no coordinator has issued ids to this entry")
-        sample = self._random.sample(usable, min(2, len(usable)))
-        chosen = min(sample, key=self._cost)
+        sample = self._random.sample(usable, min(SAMPLES, len(usable)))
+        chosen = min(sample, key=lambda peer: self._cost(peer, now))
         self._taken(chosen)
         return self._stocks[chosen].ids.popleft()
 
-    def _cost(self, peer):
-        load = self._loads.get(peer.name)
-        if load is None:
-            return (0, 0)
-        return (load.queued_ms, -load.free_slots)
+    def _cost(self, peer, now):
+        """Orders coordinators: free slots on a fast worker first, then the queue."""
+        report = self._loads.get(peer.name)
+        if report is None or now - report.at > REPORT_VALID_SECONDS:
+            return (False, 1.0, 0)
+        busy = report.free_slots <= 0
+        return (busy, report.queued_ms if busy else report.pace, -report.free_slots)
 
     def _taken(self, peer):
-        load = self._loads.get(peer.name)
-        if load is not None and load.free_slots:
-            self._loads[peer.name] = type(load)(load.free_slots - 1, load.queued_ms)
+        report = self._loads.get(peer.name)
+        if report is not None:
+            report.free_slots -= 1
 
     # Requests.
 
--- a/packages/core/banyanwheel_core/executor.py
+++ b/packages/core/banyanwheel_core/executor.py
@@ -44,6 +44,7 @@
     grant_validity: float = 0.25
     retention: float = 240.0
     reservation_lifetime: float = 5.0
+    notice_ms: int = 50  # a shorter wait is not worth a message
     max_tasks: int = 100_000
 
 
@@ -104,6 +105,7 @@
         self._timers = Timers()
         self._stopping = False
         self._drained = False
+        self.pace = 1.0
 
     @classmethod
     def from_settings(cls, identity, settings):
@@ -152,7 +154,7 @@
     def load(self):
         """The load to send along with messages."""
         free = self.free_slots if self.serving else 0
-        return Load(free_slots=free, queued_ms=int(self._queued_ms()))
+        return Load(free, int(self._queued_ms()), round(self.pace, 3))
 
     @property
     def next_tick(self):
@@ -284,19 +286,20 @@
             demand = _Demand(message.flow, sender, granted=message.granted)
             self._demands[key] = demand
         self._timers.set(("demand", key), now + self._limits.reservation_lifetime)
+        repeated = message.upto == demand.upto
         if message.sequence >= demand.sequence:
             demand.sequence = message.sequence
             demand.upto = message.upto
         self._fair.touch(message.flow, now)
         if message.flow not in self._run_ms:
             self._run_ms[message.flow] = float(message.declared_ms)
-        return self._answer_reservation(demand, now)
+        return self._answer_reservation(demand, repeated, now)
 
-    def _answer_reservation(self, demand, now):
+    def _answer_reservation(self, demand, repeated, now):
         wanted = demand.open
         effects = self._dispatch(now)
-        if demand.open:
-            wait_ms = int(self.expected_wait_ms(demand.flow))
+        wait_ms = int(self.expected_wait_ms(demand.flow)) if demand.open else 0
+        if wait_ms > self._limits.notice_ms or (demand.open and repeated):
             queued = ReservationQueued(demand.flow, wait_ms, demand.granted)
             effects.append(Send(demand.owner, queued))
         elif not wanted and demand.upto < demand.granted:
--- a/packages/core/banyanwheel_core/messages.py
+++ b/packages/core/banyanwheel_core/messages.py
@@ -238,10 +238,14 @@
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
-    """An agent's load, sent along with other messages."""
+    """An agent's load, sent along with other messages.
+
+    ``pace`` is the run time of tasks at its backend server over the fleet's.
+    """
 
     free_slots: int
     queued_ms: int
+    pace: float = 1.0
 
 
 class MemberRecord(msgspec.Struct, frozen=True):
--- a/packages/core/banyanwheel_core/placement.py
+++ b/packages/core/banyanwheel_core/placement.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 __all__ = ["Candidate", "Placement"]
 
@@ -13,7 +13,10 @@
 UNKNOWN_LOAD_MS = 2.0  # assumed wait at an executor that has not reported lately
 LOAD_VALID_SECONDS = 0.5  # a report older than this counts as none
 FAR_MS = 3.0  # added for another data centre
-LEARNING_RATE = 0.2  # weight of the newest value in the moving averages
+FAILURE_RATE_WEIGHT = 0.2  # of the newest outcome in the moving average
+FLEET_WEIGHT = 0.02  # of the newest run time in the fleet's moving average
+PACE_WEIGHT = 0.05  # of the newest run time in an executor's moving average
+DEFAULT_RUN_MS = 100.0
 FAILURE_MARGIN = 0.5  # failure rate above the fleet's that ejects an executor
 MIN_OUTCOMES = 5  # outcomes seen before an executor can be ejected
 MAX_EJECTED_SHARE = 0.3  # of the executors known
@@ -37,7 +40,7 @@
     free_slots: float | None = None
     queued_ms: float = 0.0
     reported_at: float = 0.0
-    run_ms: dict = field(default_factory=dict)
+    pace: float = 1.0
     failure_rate: float = 0.0
     outcomes: int = 0
     ejections: int = 0
@@ -74,6 +77,7 @@
         self._samples = samples
         self._seen = {}
         self._reserved = {}
+        self._fleet_ms = {}
 
     def reserved(self, name):
         """Slots that this sender has asked for at an executor and not seen freed."""
@@ -100,8 +104,9 @@
         """Notes a task that an executor finished."""
         seen = self._seen.setdefault(name, _Seen())
         key = (flow.service, flow.kind)
-        old = seen.run_ms.get(key, float(run_ms))
-        seen.run_ms[key] = old + LEARNING_RATE * (run_ms - old)
+        fleet = self._fleet_ms.get(key, float(run_ms))
+        self._fleet_ms[key] = fleet + FLEET_WEIGHT * (run_ms - fleet)
+        seen.pace += PACE_WEIGHT * (run_ms / max(1.0, fleet) - seen.pace)
         self._outcome(seen, 0.0)
         if seen.on_trial:
             seen.on_trial = False
@@ -147,7 +152,7 @@
     def expected_ms(self, flow, candidate, now):
         """Milliseconds until a task would be done at a candidate."""
         seen = self._seen.get(candidate.name) or _Seen()
-        run_ms = seen.run_ms.get((flow.service, flow.kind), self.fleet_run_ms(flow))
+        run_ms = seen.pace * self.fleet_run_ms(flow)
         far = FAR_MS if candidate.data_centre != self._data_centre else 0.0
         return far + run_ms + self._wait_ms(seen, candidate, run_ms, now)
 
@@ -165,13 +170,20 @@
 
     def fleet_run_ms(self, flow):
         """Mean run time seen for this kind of work at all executors."""
-        key = (flow.service, flow.kind)
-        known = [seen.run_ms[key] for seen in self._seen.values() if key in seen.run_ms]
-        return sum(known) / len(known) if known else 100.0
+        return self._fleet_ms.get((flow.service, flow.kind), DEFAULT_RUN_MS)
+
+    def declared(self, flow, run_ms):
+        """Takes a declared run time as a first guess, until one is measured."""
+        self._fleet_ms.setdefault((flow.service, flow.kind), float(run_ms))
+
+    def pace(self, name):
+        """Run time at an executor over that of the fleet, for the same kinds."""
+        seen = self._seen.get(name)
+        return seen.pace if seen is not None else 1.0
 
     def _outcome(self, seen, failure):
         seen.outcomes += 1
-        seen.failure_rate += LEARNING_RATE * (failure - seen.failure_rate)
+        seen.failure_rate += FAILURE_RATE_WEIGHT * (failure - seen.failure_rate)
 
     def _is_outlier(self, seen):
         if seen.outcomes < MIN_OUTCOMES:
--- a/packages/core/banyanwheel_core/policy.py
+++ b/packages/core/banyanwheel_core/policy.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from .documents import Drains
 from .findings import Finding
 
 __all__ = ["FlowPolicy", "Policy"]
@@ -30,6 +31,7 @@
     quotas: Mapping[str, float] = field(default_factory=dict)
     kind_weights: Mapping[str, float] = field(default_factory=dict)
     max_queues: Mapping[str, int] = field(default_factory=dict)
+    drains: Drains = Drains()
     headroom_slots: int = DEFAULT_HEADROOM
     max_tasks: int = 1_000
     max_deadline_ms: int = 600_000
@@ -45,6 +47,7 @@
             quotas={name: s.quota for name, s in subsidiaries.items()},
             kind_weights={name: kind.weight for name, kind in kinds.items()},
             max_queues={name: kind.max_queue for name, kind in kinds.items()},
+            drains=document.drains,
             headroom_slots=limits.headroom_slots,
             max_tasks=limits.max_tasks,
             max_deadline_ms=limits.max_deadline_ms,
--- a/packages/daemon/banyanwheel_daemon/agent.py
+++ b/packages/daemon/banyanwheel_daemon/agent.py
@@ -19,6 +19,7 @@
     MemberRecord,
     SubmitJob,
 )
+from banyanwheel_core.models import Reason
 from banyanwheel_core.placement import Placement
 
 from .announcements import make_application
@@ -59,7 +60,7 @@
         self._announcing = False
         self._leaving = False
         self._successor = ""
-        self._handed_over = False
+        self._taken = set()
         self._lifecycle = Lifecycle()
         self._actions = {}
         application = make_application(
@@ -105,6 +106,7 @@
 
     def on_tick(self, now):
         """Announces this agent when that is due."""
+        self._executor.pace = self._placement.pace(self._identity.name)
         self._placement.loaded(self._identity.name, self._executor.load, now)
         if self._announcing:
             return
@@ -133,7 +135,8 @@
     def _perform(self, effect):
         match effect:
             case Send(message=JobAnswer(answer=answer)):
-                self._log_answer(answer)
+                if answer.reason is not Reason.ID_CONFLICT:
+                    self._log_answer(answer)
         super()._perform(effect)
 
     def _log_answer(self, answer):
@@ -153,8 +156,8 @@
                     self._identity.name,
                     tasks=len(spec.tasks),
                 )
-            case HandoverTaken():
-                self._handed_over = True
+            case HandoverTaken(incarnation=incarnation):
+                self._taken.add(incarnation)
                 return []
             case InspectRequest(number=number, what=what):
                 rows = msgspec.Raw(msgspec.json.encode(self._rows(what)))
@@ -288,7 +291,7 @@
             messages = self._coordinator.handover(time.monotonic())
             self.perform([Send(peer, message) for message in messages])
             await asyncio.sleep(HANDOVER_PAUSE_SECONDS)
-            if self._handed_over:
+            if {message.incarnation for message in messages} <= self._taken:
                 self._successor = f"{successor.name}.{successor.incarnation}"
                 await self._append_record(self._record())
                 return
--- a/packages/daemon/banyanwheel_daemon/entry.py
+++ b/packages/daemon/banyanwheel_daemon/entry.py
@@ -84,7 +84,7 @@
 
     def on_load(self, name, load):
         """Takes in the load that an agent sent along."""
-        self._entry.loaded(name, load)
+        self._entry.loaded(name, load, time.monotonic())
 
     def on_tick(self, now):
         """Fetches ids before they run out."""
