Prefer the own worker, miss an answer only past its expected time, skip cancelled timers

Cause 1: equal workers were chosen as often as the own one, so 80% of the tasks cost four messages; other workers now count 10 ms more. Cause 2: every wait over 250 ms was probed; a result or an answer is now missed only past twice its usual time. Cause 3, found by the state machine: a deadline that fell due in the same tick as the loss of its worker was handled after the job had been answered (KeyError); timers now yield one at a time.

--- a/benchmarks/system.py
+++ b/benchmarks/system.py
@@ -139,16 +139,18 @@
                 delay_to_client_ms=deployment.data_centre_delay_back_ms,
             )
 
-    def _launch_daemon(self, name, peers, **listener):
+    def _configure(self, name, peers, **listener):
         log_service = self._processes["log_service"].ready["address"]
         if self.meters is not None:
             log_service = self.meters.open(name, log_service)
-        settings = write_settings(
+        self._settings[name] = write_settings(
             self._directory, name, self.layout, log_service, peers.values(), listener
         )
+
+    def _launch_daemon(self, name):
         role = name.partition("-")[0]
         module = ["-m", "benchmarks.instrumented", str(self._variant)]
-        arguments = [*module, role, "--settings", str(settings)]
+        arguments = [*module, role, "--settings", str(self._settings[name])]
         process = Process(name, arguments, self._directory / f"{name}.err")
         return self._launch(name, process)
 
--- a/packages/core/banyanwheel_core/coordinator.py
+++ b/packages/core/banyanwheel_core/coordinator.py
@@ -39,6 +39,8 @@
 __all__ = ["Coordinator", "CoordinatorLimits"]
 
 QUEUE_RETRY_MS = 1_000
+OVERDUE_FACTOR = 2.0  # of the expected run time, until a result is missed
+MAX_OVERDUE_SECONDS = 1.0
 MAX_DETAIL = 500  # characters of a failed task's own answer
 
 
@@ -102,10 +104,9 @@
         """When :meth:`tick` is wanted next, or None."""
         return self._timers.next_due
 
-    @property
-    def awaited(self):
-        """Names of executors from which something is awaited."""
-        names = self._sent.names | self._dispatcher.awaited
+    def awaited(self, now):
+        """Names of executors from which a message should have come by now."""
+        names = self._sent.overdue(now) | self._dispatcher.awaited
         return names - {self._identity.name}
 
     def configure(self, policy):
@@ -314,7 +315,8 @@
         keys = {(start.job_id, start.index) for start in starts}
         effects = [Send(sender, StartTasks(message.grant, tuple(starts)))]
         if keys:
-            self._sent.add(sender, message.grant, keys)
+            due = now + self._overdue_after(message.flow)
+            self._sent.add(sender, message.grant, keys, due)
             self._mark_sent(keys, sender, message.grant)
             queue.started(len(keys), now)
             self._placement.started(sender.name, len(keys))
@@ -322,6 +324,10 @@
             effects.append(Count("grants_unused", Reason.GRANT_LAPSED))
         return effects + self._dispatcher.place(message.flow, now)
 
+    def _overdue_after(self, flow):
+        run_seconds = self._placement.fleet_run_ms(flow) / 1_000
+        return min(MAX_OVERDUE_SECONDS, OVERDUE_FACTOR * run_seconds)
+
     def _pick(self, queue, member, slots, now):
         starts = []
         while len(starts) < slots and member is not None:
--- a/packages/core/banyanwheel_core/entry.py
+++ b/packages/core/banyanwheel_core/entry.py
@@ -28,6 +28,11 @@
 
 SAMPLES = 4  # coordinators compared for one job
 REPORT_VALID_SECONDS = 1.0  # an older report of a load counts as none
+OVERDUE_FACTOR = 2.0  # of the usual response time, until an answer is missed
+MIN_OVERDUE_SECONDS = 0.1
+MAX_OVERDUE_SECONDS = 1.0
+RESPONSE_WEIGHT = 0.1  # of the newest response time in the moving average
+MAX_FLOWS = 1_000  # whose response times are kept
 MOVABLE = {Reason.STOPPING, Reason.TABLE_FULL, Reason.UNKNOWN_ID, Reason.NO_WORKER}
 
 
@@ -80,6 +85,8 @@
     spec: JobSpec | None = None
     tries: int = 1
     query: bool = False
+    opened_at: float = 0.0
+    due: float = 0.0
 
 
 class Entry:
@@ -97,6 +104,7 @@
         self._by_job = defaultdict(dict)
         self._timers = Timers()
         self._policy = Policy()
+        self._response_seconds = {}
 
     @property
     def pending(self):
@@ -113,10 +121,13 @@
         """When :meth:`tick` is wanted next, or None."""
         return self._timers.next_due
 
-    @property
-    def awaited(self):
-        """Names of coordinators from which something is awaited."""
-        names = {self._owner(p.job_id).name for p in self._pending.values()}
+    def awaited(self, now):
+        """Names of coordinators from which a message should have come by now."""
+        names = {
+            self._owner(pending.job_id).name
+            for pending in self._pending.values()
+            if pending.due <= now
+        }
         requested = {
             peer.name for peer, stock in self._stocks.items() if stock.requested_at
         }
@@ -284,6 +295,8 @@
             return [Answered(pending.token, answer), _refusal(Reason.UNKNOWN_ID)]
         if not self._reachable(owner):
             return self._unreachable(pending)
+        pending.opened_at = now
+        pending.due = now + self._overdue_after(pending)
         self._pending[pending.token] = pending
         self._by_job[pending.job_id][pending.token] = pending
         margin = self._limits.deadline_margin
@@ -319,9 +332,29 @@
                 effects += self._move(pending, answer, now)
             else:
                 self._close(pending)
+                self._learn(pending, now)
                 effects.append(Answered(pending.token, answer))
         return effects
 
+    def _overdue_after(self, pending):
+        """Seconds after which an answer to this request is missed."""
+        if pending.spec is None:
+            return MIN_OVERDUE_SECONDS
+        usual = self._response_seconds.get(pending.spec.flow, 0.0)
+        overdue = OVERDUE_FACTOR * usual
+        return min(MAX_OVERDUE_SECONDS, max(MIN_OVERDUE_SECONDS, overdue))
+
+    def _learn(self, pending, now):
+        if pending.spec is None:
+            return
+        flow = pending.spec.flow
+        if flow not in self._response_seconds:
+            while len(self._response_seconds) >= MAX_FLOWS:
+                del self._response_seconds[next(iter(self._response_seconds))]
+        taken = now - pending.opened_at
+        usual = self._response_seconds.get(flow, taken)
+        self._response_seconds[flow] = usual + RESPONSE_WEIGHT * (taken - usual)
+
     def _may_move(self, pending, answer):
         """Only a short form that was certainly not accepted goes elsewhere."""
         return (
--- a/packages/core/banyanwheel_core/executor.py
+++ b/packages/core/banyanwheel_core/executor.py
@@ -44,7 +44,7 @@
     grant_validity: float = 0.25
     retention: float = 240.0
     reservation_lifetime: float = 5.0
-    notice_ms: int = 50  # a shorter wait is not worth a message
+    notice_ms: int = 250  # a shorter wait is not worth a message
     max_tasks: int = 100_000
 
 
--- a/packages/core/banyanwheel_core/placement.py
+++ b/packages/core/banyanwheel_core/placement.py
@@ -12,6 +12,7 @@
 SAMPLES = 4  # executors compared for one choice
 UNKNOWN_LOAD_MS = 2.0  # assumed wait at an executor that has not reported lately
 LOAD_VALID_SECONDS = 0.5  # a report older than this counts as none
+REMOTE_MS = 10.0  # added for another worker: round trips, and messages spared
 FAR_MS = 3.0  # added for another data centre
 FAILURE_RATE_WEIGHT = 0.2  # of the newest outcome in the moving average
 FLEET_WEIGHT = 0.02  # of the newest run time in the fleet's moving average
@@ -70,7 +71,8 @@
 class Placement:
     """Picks the executor with the earliest expected completion in a sample."""
 
-    def __init__(self, data_centre, random, choice="expected", samples=SAMPLES):
+    def __init__(self, name, data_centre, random, choice="expected", samples=SAMPLES):
+        self._name = name
         self._data_centre = data_centre
         self._random = random
         self._choose = _CHOICES[choice]
@@ -143,18 +145,26 @@
         usable = [c for c in usable if not self._trial_taken(c.name)]
         if not usable:
             return None
-        if len(usable) <= self._samples:
-            sample = self._random.sample(usable, len(usable))
-        else:
-            sample = self._random.sample(usable, self._samples)
+        sample = self._random.sample(usable, min(self._samples, len(usable)))
+        sample += [c for c in usable if c.name == self._name]
         return self._choose(self, flow, sample, now)
 
     def expected_ms(self, flow, candidate, now):
         """Milliseconds until a task would be done at a candidate."""
         seen = self._seen.get(candidate.name) or _Seen()
         run_ms = seen.pace * self.fleet_run_ms(flow)
-        far = FAR_MS if candidate.data_centre != self._data_centre else 0.0
-        return far + run_ms + self._wait_ms(seen, candidate, run_ms, now)
+        return (
+            self._distance_ms(candidate)
+            + run_ms
+            + self._wait_ms(seen, candidate, run_ms, now)
+        )
+
+    def _distance_ms(self, candidate):
+        if candidate.name == self._name:
+            return 0.0
+        if candidate.data_centre == self._data_centre:
+            return REMOTE_MS
+        return REMOTE_MS + FAR_MS
 
     def _wait_ms(self, seen, candidate, run_ms, now):
         """The wait by the last report; without one, the slots are taken as free."""
--- a/packages/core/banyanwheel_core/sent.py
+++ b/packages/core/banyanwheel_core/sent.py
@@ -13,15 +13,16 @@
 
     def __init__(self):
         self._grants = defaultdict(dict)
+        self._due = {}
 
-    @property
-    def names(self):
-        """Names of the executors that owe a result."""
-        return {peer.name for peer, grants in self._grants.items() if grants}
+    def overdue(self, now):
+        """Names of the executors that owe a result past its expected time."""
+        return {executor.name for (executor, _), at in self._due.items() if at <= now}
 
-    def add(self, executor, grant, keys):
-        """Notes the tasks sent under a grant."""
+    def add(self, executor, grant, keys, due):
+        """Notes the tasks sent under a grant; a result is expected until ``due``."""
         self._grants[executor][grant] = set(keys)
+        self._due[executor, grant] = due
 
     def remove(self, sent, key):
         """Forgets one task; ``sent`` is (executor, grant number)."""
@@ -31,15 +32,18 @@
             return
         keys.discard(key)
         if not keys:
-            del self._grants[executor][grant]
+            self.pop_grant(executor, grant)
 
     def pop_grant(self, executor, grant):
         """Forgets and returns the tasks of a grant."""
+        self._due.pop((executor, grant), None)
         return self._grants[executor].pop(grant, set())
 
     def pop_executor(self, executor):
         """Forgets and returns, in order, all tasks sent to an executor."""
         grants = self._grants.pop(executor, {})
+        for grant in grants:
+            del self._due[executor, grant]
         return sorted(key for keys in grants.values() for key in keys)
 
     def incarnations(self, name):
--- a/packages/core/banyanwheel_core/timers.py
+++ b/packages/core/banyanwheel_core/timers.py
@@ -36,14 +36,15 @@
         self._current.pop(key, None)
 
     def due(self, now):
-        """Removes and returns the keys whose time has come."""
-        keys = []
+        """Removes and yields the keys whose time has come, the earliest first.
+
+        A key that is cancelled while an earlier one is handled does not come.
+        """
         while self._heap and self._heap[0][0] <= now:
             entry = heapq.heappop(self._heap)
             if self._current.get(entry[2]) is entry:
                 del self._current[entry[2]]
-                keys.append(entry[2])
-        return keys
+                yield entry[2]
 
     def _drop_stale(self):
         while self._heap and self._current.get(self._heap[0][2]) is not self._heap[0]:
--- a/packages/daemon/banyanwheel_daemon/agent.py
+++ b/packages/daemon/banyanwheel_daemon/agent.py
@@ -46,7 +46,7 @@
     def __init__(self, settings):
         super().__init__(settings, settings.agent.address, settings.process.rack)
         process = settings.process
-        self._placement = Placement(process.data_centre, self._random)
+        self._placement = Placement(process.name, process.data_centre, self._random)
         self._executor = Executor.from_settings(self._identity, settings.agent)
         self._coordinator = Coordinator.from_settings(
             self._identity, self._members, self._placement, settings.agent
--- a/packages/daemon/banyanwheel_daemon/node.py
+++ b/packages/daemon/banyanwheel_daemon/node.py
@@ -359,16 +359,16 @@
     def on_tick(self, now):
         """Is called at each tick."""
 
-    @property
-    def awaited(self):
-        """Names of the peers from which something is awaited."""
+    def awaited(self, now):
+        """Names of the peers from which a message should have come by now."""
         names = set()
         for decision in self.decisions:
-            names |= getattr(decision, "awaited", set())
+            if hasattr(decision, "awaited"):
+                names |= decision.awaited(now)
         return names
 
     def _check_links(self, now):
-        for step in self._links.tick(self.awaited, now):
+        for step in self._links.tick(self.awaited(now), now):
             match step:
                 case links.Probe(name=name):
                     self._ping(name)
