End the daemons of a scenario at once

Change: scenarios kill the daemons, which keep nothing, after the checks; graceful stops have scenarios of their own.

--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -92,6 +92,11 @@
         if self._temporary is not None:
             self._temporary.cleanup()
 
+    def kill_daemons(self):
+        """Ends all daemons at once, so that :meth:`close` waits for no handover."""
+        for name in self.daemons:
+            self._processes[name].kill()
+
     def http(self, name):
         """The HTTP address of a daemon."""
         return self._processes[name].ready["http"]
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -106,6 +106,13 @@
     return {"kinds": {"stock": {"weight": weight}}}
 
 
+def enter_system(stack, directory, layout):
+    """Starts a system that ends with the scenario; the daemons keep nothing."""
+    cluster = stack.enter_context(Cluster(layout, directory))
+    stack.callback(cluster.kill_daemons)
+    return World(cluster)
+
+
 @pytest.fixture
 def stack():
     with ExitStack() as stack:
@@ -117,8 +124,7 @@
     target_fixture="world",
 )
 def start_system(stack, tmp_path, agents, slots):
-    layout = Layout(agents=agents, slots=slots)
-    return World(stack.enter_context(Cluster(layout, tmp_path)))
+    return enter_system(stack, tmp_path, Layout(agents=agents, slots=slots))
 
 
 @given(
@@ -131,7 +137,7 @@
 def start_proxied_system(stack, tmp_path, agents, slots):
     proxied = frozenset(range(1, agents + 1))
     layout = Layout(agents=agents, slots=slots, proxied=proxied)
-    return World(stack.enter_context(Cluster(layout, tmp_path)))
+    return enter_system(stack, tmp_path, layout)
 
 
 @given("callers that submit jobs all the time")
