Count what the HTTP side refuses by itself, once per request

Change: the handlers call count_refusal(reason), an application setting, where a ProblemError ends a request; the entry wires it to banyanwheel.refusals. An agent's endpoint takes the same function; agent.py does not pass one yet.

--- a/packages/daemon/banyanwheel_daemon/announcements.py
+++ b/packages/daemon/banyanwheel_daemon/announcements.py
@@ -2,7 +2,7 @@
 
 from banyanwheel_core.models import Announcement
 
-from .handlers import BodyHandler, build_application, probe_routes
+from .handlers import BodyHandler, build_application, count_nothing, probe_routes
 
 __all__ = ["RENEWALS_PER_LIFETIME", "make_application"]
 
@@ -26,15 +26,18 @@
         )
 
 
-def make_application(worker, on_announcement, is_ready, render_metrics):
+def make_application(
+    worker, on_announcement, is_ready, render_metrics, count_refusal=count_nothing
+):
     """Returns the tornado application of an agent's local endpoint.
 
     ``on_announcement(Announcement)`` is called for each one accepted, ``is_ready()``
-    tells whether new work is welcome, ``render_metrics()`` gives bytes.
+    tells whether new work is welcome, ``render_metrics()`` gives bytes, and
+    ``count_refusal(reason)`` is called for each announcement refused.
     """
     options = {"worker": worker, "on_announcement": on_announcement}
     routes = [
         (r"/v1/backend", _AnnouncementHandler, options),
         *probe_routes(is_ready, render_metrics),
     ]
-    return build_application(routes, MAX_ANNOUNCEMENT_BYTES)
+    return build_application(routes, MAX_ANNOUNCEMENT_BYTES, count_refusal)
--- a/packages/daemon/banyanwheel_daemon/entry.py
+++ b/packages/daemon/banyanwheel_daemon/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import time
+from functools import partial
 
 from banyanwheel_core.entry import Entry, NoIdsError
 from banyanwheel_core.messages import InspectReply
@@ -11,6 +12,7 @@
 from .desk import OperatorDesk
 from .lifecycle import Lifecycle
 from .logs import Branch, continue_job
+from .metrics import REFUSALS
 from .node import Node, serve
 from .operations import CommandsHandler, Operations
 from .problems import ProblemError
@@ -50,6 +52,7 @@
         application = make_application(
             self,
             self._metrics.render,
+            count_refusal=partial(self._metrics.count, REFUSALS),
             max_body_bytes=settings.limits.max_body_bytes,
             routes=[(r"/v1/commands", CommandsHandler, options)],
         )
@@ -66,6 +69,11 @@
         """Whether new work is welcome: serving, with ids at hand."""
         return self._lifecycle.serving and self._entry.ready
 
+    @property
+    def http_address(self):
+        """The address that callers use, as ``ip:port``."""
+        return self._web.addresses[0]
+
     async def main(self, env):
         """Runs until a signal asks to stop, then finishes what is in progress."""
         self.start()
--- a/packages/daemon/banyanwheel_daemon/handlers.py
+++ b/packages/daemon/banyanwheel_daemon/handlers.py
@@ -21,6 +21,7 @@
     "JsonHandler",
     "NotFoundHandler",
     "build_application",
+    "count_nothing",
     "probe_routes",
 ]
 
@@ -83,8 +84,9 @@
     """Reads a bounded body; what is beyond the bound is read and let go.
 
     A connection closed before the whole body was read would lose the answer.
-    The application's settings give the bound ``max_body_bytes`` and a set
-    ``in_progress`` that holds each handler until its answer is written out.
+    The application's settings give the bound ``max_body_bytes``, a set
+    ``in_progress`` that holds each handler until its answer is written out, and
+    ``count_refusal(reason)``, which is called once for each refused request.
     """
 
     def prepare(self):
@@ -113,6 +115,13 @@
         super().on_connection_close()
         self._leave()
 
+    def write_error(self, status_code, **kwargs):
+        """Counts a refusal, and turns any error into a problem."""
+        _, error, _ = kwargs.get("exc_info", (None, None, None))
+        if isinstance(error, ProblemError):
+            self.settings["count_refusal"](error.problem.reason)
+        super().write_error(status_code, **kwargs)
+
     def read_json(self, structure):
         """Returns the body as ``structure``; raises ProblemError for any fault."""
         self._check_type()
@@ -189,13 +198,21 @@
     ]
 
 
-def build_application(routes, max_body_bytes):
-    """Returns an application whose every error is a problem."""
+def count_nothing(reason):
+    """Stands in for ``count_refusal`` where refusals are not counted."""
+
+
+def build_application(routes, max_body_bytes, count_refusal=count_nothing):
+    """Returns an application whose every error is a problem.
+
+    ``count_refusal(reason)`` is called for each request that is refused here.
+    """
     return Application(
         routes,
         default_handler_class=NotFoundHandler,
         log_function=_log_nothing,
         max_body_bytes=max_body_bytes,
+        count_refusal=count_refusal,
         in_progress=set(),
     )
 
--- a/packages/daemon/banyanwheel_daemon/web.py
+++ b/packages/daemon/banyanwheel_daemon/web.py
@@ -24,7 +24,7 @@
 )
 
 from . import problems
-from .handlers import BodyHandler, build_application, probe_routes
+from .handlers import BodyHandler, build_application, count_nothing, probe_routes
 from .problems import ProblemError
 
 __all__ = ["JobDesk", "WebServer", "fingerprint_of", "make_application"]
@@ -198,10 +198,15 @@
     desk: JobDesk,
     render_metrics: Callable[[], bytes],
     *,
+    count_refusal: Callable[[Reason], None] = count_nothing,
     max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
     routes=(),
 ):
-    """Returns the tornado application for callers; ``routes`` are added to its own."""
+    """Returns the tornado application for callers; ``routes`` are added to its own.
+
+    ``count_refusal`` is called for each request that this side refuses by itself;
+    the entry counts what it answers with a refusal.
+    """
     options = {"desk": desk}
     own = [
         (r"/v1/job-ids", _IdsHandler, options),
@@ -209,7 +214,7 @@
         (r"/v1/jobs/([^/]+)", _JobHandler, options),
         *probe_routes(lambda: desk.ready, render_metrics),
     ]
-    return build_application([*own, *routes], max_body_bytes)
+    return build_application([*own, *routes], max_body_bytes, count_refusal)
 
 
 def _check_id(job_id):
--- a/tests/daemon/test_web.py
+++ b/tests/daemon/test_web.py
@@ -31,6 +31,7 @@
     def __init__(self, answer=COMPLETE, ready=True):
         self.ready = ready
         self.calls = []
+        self.refusals = []
         self.asked = asyncio.Event()
         self.go_on = asyncio.Event()
         self.go_on.set()
@@ -55,7 +56,10 @@
 
     async def main():
         application = make_application(
-            desk, lambda: b"# metrics\n", max_body_bytes=MAX_BODY_BYTES
+            desk,
+            lambda: b"# metrics\n",
+            count_refusal=desk.refusals.append,
+            max_body_bytes=MAX_BODY_BYTES,
         )
         server = WebServer(application)
         server.listen("127.0.0.1", 0)
@@ -125,8 +129,10 @@
 
 @pytest.mark.parametrize("count", ["0", "1001", "x", "-1", "9" * 20, ""])
 def test_a_count_of_ids_out_of_bounds_is_refused(count):
-    response, problem = call("POST", f"/v1/job-ids?count={count}", b"")
+    desk = Desk()
+    response, problem = call("POST", f"/v1/job-ids?count={count}", b"", desk)
     assert (response.code, problem["place"]) == (400, "count")
+    assert desk.refusals == [Reason.MALFORMED]
 
 
 def spec_with(**change):
@@ -169,6 +175,7 @@
     assert response.code == problem["status"] == problems.STATUSES[Reason(reason)]
     assert problem["outcome"] == "not-run"
     assert desk.calls == []
+    assert desk.refusals == [reason]
 
 
 def test_several_faults_are_told_together_with_the_nearest_name():
@@ -181,8 +188,10 @@
 
 @pytest.mark.parametrize("content_type", ["text/plain", "", "application/json+x"])
 def test_another_content_type_is_refused(content_type):
-    response, problem = call("PUT", JOB, SPEC, content_type=content_type)
+    desk = Desk()
+    response, problem = call("PUT", JOB, SPEC, desk, content_type=content_type)
     assert (response.code, problem["reason"]) == (415, "wrong-content-type")
+    assert desk.refusals == [Reason.WRONG_TYPE]
 
 
 @pytest.mark.parametrize("method", ["PUT", "GET", "DELETE"])
@@ -192,11 +201,13 @@
     response, problem = call(method, "/v1/jobs/nonsense", body, desk)
     assert (response.code, problem["reason"]) == (404, "unknown-id")
     assert desk.calls == []
+    assert desk.refusals == [Reason.UNKNOWN_ID]
 
 
 def test_a_refused_job_says_not_run_and_when_to_come_back():
-    answer = failed(Reason.QUEUE_FULL, detail="full", retry_after_ms=1_200)
-    response, problem = call("PUT", JOB, SPEC, Desk(answer))
+    desk = Desk(failed(Reason.QUEUE_FULL, detail="full", retry_after_ms=1_200))
+    response, problem = call("PUT", JOB, SPEC, desk)
+    assert desk.refusals == []  # the desk counts its own
     assert response.code == 429
     assert response.headers["Retry-After"] == "2"
     assert problem == {
