Give commands that change the configuration a timeout of their own

Cause: an entry needs up to 31 s by its constants to tell what became of a change in an outage of the log; the client gave up after 5 s, with 'outcome unknown'. The client takes the parsed command and derives text, repeatability and timeout from it.

--- a/packages/client/banyanwheel_client/cli/options.py
+++ b/packages/client/banyanwheel_client/cli/options.py
@@ -6,7 +6,7 @@
 
 import typer
 
-from ..client import DEFAULT_TRY_TIMEOUT_S
+from ..client import DEFAULT_CHANGE_TIMEOUT_S, DEFAULT_TRY_TIMEOUT_S
 from .run import Options, Run
 
 __all__ = ["with_run"]
@@ -26,9 +26,13 @@
     ),
 ]
 TryTimeout = Annotated[
-    float,
+    float | None,
     typer.Option(
-        min=0.01, metavar="SECONDS", help="How long one entry may take to answer."
+        min=0.01,
+        metavar="SECONDS",
+        help="How long one entry may take to answer;"
+        f" {DEFAULT_TRY_TIMEOUT_S:g} unless given,"
+        f" or {DEFAULT_CHANGE_TIMEOUT_S:g} for a change of the configuration.",
     ),
 ]
 AsJson = Annotated[
@@ -40,7 +44,7 @@
     context: typer.Context,
     entry: Entries = None,
     patience: Patience = 0.0,
-    try_timeout: TryTimeout = DEFAULT_TRY_TIMEOUT_S,
+    try_timeout: TryTimeout = None,
     as_json: AsJson = False,
 ):
     options = Options(tuple(entry or ()), patience, try_timeout, as_json)
--- a/packages/client/banyanwheel_client/cli/run.py
+++ b/packages/client/banyanwheel_client/cli/run.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from urllib.parse import urlsplit
 
-from banyanwheel_core.language import CancelJob, Show, Submit, Why, command_text
+from banyanwheel_core.language import Show, Submit, Why
 
 from ..client import Client, ClientSettings
 from ..context import Environment
@@ -19,11 +19,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Options:
-    """Options of a subcommand; times are seconds."""
+    """Options of a subcommand; times are seconds.
+
+    ``try_timeout`` is None for the client's own timeouts.
+    """
 
     entries: tuple[str, ...]
     patience: float
-    try_timeout: float
+    try_timeout: float | None
     as_json: bool
 
 
@@ -67,8 +70,7 @@
         if isinstance(command, Submit):
             self._printer.document(await client.submit(command.spec))
             return ExitStatus.OK
-        repeatable = isinstance(command, Show | Why | CancelJob)
-        reply = await client.command(command_text(command), repeatable)
+        reply = await client.command(command)
         self._printer.rows(reply.rows)
         if not reply.incomplete:
             return ExitStatus.OK
@@ -91,7 +93,10 @@
         raise UsageError(f"no entry: give --entry URL or set {ENTRIES_VARIABLE}")
     for entry in entries:
         _check_entry(entry)
-    return ClientSettings(entries, options.patience, options.try_timeout)
+    if options.try_timeout is None:
+        return ClientSettings(entries, options.patience)
+    timeout = options.try_timeout
+    return ClientSettings(entries, options.patience, timeout, timeout)
 
 
 def _check_entry(entry):
--- a/packages/client/banyanwheel_client/client.py
+++ b/packages/client/banyanwheel_client/client.py
@@ -11,6 +11,15 @@
 import msgspec
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
+from banyanwheel_core.language import (
+    CancelJob,
+    Drain,
+    Reconfigure,
+    Show,
+    Undrain,
+    Why,
+    command_text,
+)
 from banyanwheel_core.models import Answer, JobSpec
 
 from .errors import (
@@ -27,6 +36,7 @@
 __all__ = ["Client", "ClientSettings", "Reply"]
 
 DEFAULT_TRY_TIMEOUT_S = 5.0
+DEFAULT_CHANGE_TIMEOUT_S = 60.0  # an entry asks an unreachable log several times
 CONNECT_TIMEOUT_S = 2.0
 GRACE_S = 5.0  # waited beyond a job's deadline before its outcome is called unknown
 ROUND_PAUSE_S = 0.2  # after the first round over all entries; doubles each round
@@ -39,11 +49,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ClientSettings:
-    """Entries in the order of use; times are seconds."""
+    """Entries in the order of use; times are seconds.
+
+    ``change_timeout`` takes the place of ``try_timeout`` for a command that changes
+    the configuration.
+    """
 
     entries: tuple[str, ...]
     patience: float = 0.0
     try_timeout: float = DEFAULT_TRY_TIMEOUT_S
+    change_timeout: float = DEFAULT_CHANGE_TIMEOUT_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,14 +108,20 @@
                     raise
                 await asyncio.sleep(pause)
 
-    async def command(self, text, repeatable) -> Reply:
-        """Runs a command at an entry.
+    async def command(self, command) -> Reply:
+        """Runs a parsed command at an entry.
 
-        A command that isn't ``repeatable`` is sent again only where the first entry
-        is certain not to have read it.
+        A command that changes more than one job is sent again only where the first
+        entry is certain not to have read it.
         """
+        changes = isinstance(command, Drain | Undrain | Reconfigure)
+        settings = self._settings
         response = await self._deliver(
-            "/v1/commands", text.encode(), TEXT_HEADERS, repeatable
+            "/v1/commands",
+            command_text(command).encode(),
+            TEXT_HEADERS,
+            repeatable=isinstance(command, Show | Why | CancelJob),
+            timeout_s=settings.change_timeout if changes else settings.try_timeout,
         )
         rows = [msgspec.json.decode(line) for line in response.body.splitlines()]
         if rows and rows[-1].keys() == {"incomplete"}:
@@ -110,7 +131,11 @@
     async def _submit_once(self, body, limit_s):
         """Submits under one fresh id."""
         response = await self._deliver(
-            "/v1/job-ids?count=1", b"", JSON_HEADERS, repeatable=True
+            "/v1/job-ids?count=1",
+            b"",
+            JSON_HEADERS,
+            repeatable=True,
+            timeout_s=self._settings.try_timeout,
         )
         job_id = msgspec.json.decode(response.body)["ids"][0]
         self._unanswered = job_id
@@ -143,10 +168,11 @@
             pause = min(pause * 2, MAX_ROUND_PAUSE_S)
 
     async def _put(self, path, body):
-        response = _checked(await self._try("PUT", path, body, JSON_HEADERS))
+        timeout_s = self._settings.try_timeout
+        response = _checked(await self._try("PUT", path, body, JSON_HEADERS, timeout_s))
         return msgspec.json.decode(response.body, type=Answer)
 
-    async def _deliver(self, path, body, headers, repeatable):
+    async def _deliver(self, path, body, headers, repeatable, timeout_s):
         """Posts a request until an entry answers it."""
         last = None
         for number in range(ROUNDS):
@@ -154,7 +180,8 @@
                 await asyncio.sleep(ROUND_PAUSE_S)
             for _ in self._settings.entries:
                 try:
-                    return _checked(await self._try("POST", path, body, headers))
+                    response = await self._try("POST", path, body, headers, timeout_s)
+                    return _checked(response)
                 except NoAnswerError as error:
                     last = error
                     if error.sent and not repeatable:
@@ -168,7 +195,7 @@
                 raise last
         raise UnreachableError(f"no entry answered: {last}")
 
-    async def _try(self, method, path, body, headers):
+    async def _try(self, method, path, body, headers, timeout_s):
         """Sends one request to the entry in use; moves on when it has no answer."""
         entry = self._settings.entries[self._next]
         request = HTTPRequest(
@@ -176,8 +203,8 @@
             method=method,
             body=body,
             headers=headers,
-            connect_timeout=min(CONNECT_TIMEOUT_S, self._settings.try_timeout),
-            request_timeout=self._settings.try_timeout,
+            connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
+            request_timeout=timeout_s,
             follow_redirects=False,
         )
         try:
--- a/tests/client/fake_entry.py
+++ b/tests/client/fake_entry.py
@@ -12,6 +12,7 @@
 
 from banyanwheel_client.context import Environment
 
+IMPATIENT_S = 0.05
 JOB_ID = "gulf-1.0123456789abcdef.1.{}"
 JOB = '{"service": "counter", "subsidiary": "south", "kind": "price", "tasks": [{}]}'
 
@@ -50,6 +51,12 @@
     await asyncio.sleep(30)
 
 
+async def dawdle(handler):
+    """Gives its answer after a while, longer than ``IMPATIENT_S``."""
+    await asyncio.sleep(10 * IMPATIENT_S)
+    handler.finish()
+
+
 class FakeEntry:
     """Serves the callers' interface; ``faults`` are used up by its requests.
 
--- a/tests/client/test_commands.py
+++ b/tests/client/test_commands.py
@@ -1,3 +1,4 @@
+import asyncio
 import json
 import signal
 import subprocess
@@ -13,12 +14,17 @@
 
 from banyanwheel_client.__main__ import main
 from banyanwheel_client.cli.prompt import LanguageCompleter
+from banyanwheel_client.client import Client, ClientSettings
+from banyanwheel_client.errors import UnreachableError
 from banyanwheel_client.status import ExitStatus
 from banyanwheel_core.language import parse
+from banyanwheel_daemon import log_service, publisher
 from tests.client.fake_entry import (
+    IMPATIENT_S,
     JOB,
     JOB_ID,
     cut,
+    dawdle,
     dead_url,
     environment,
     hang,
@@ -128,6 +134,41 @@
     assert len(jobs.commands) == 1
 
 
+def run_impatiently(entry, text):
+    async def run():
+        client = Client(ClientSettings((entry.url,), try_timeout=IMPATIENT_S))
+        try:
+            return await client.command(parse(text))
+        finally:
+            client.close()
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "text", ["drain rack r/r-1", "undrain worker w-1", "reconfigure {}"]
+)
+def test_a_change_of_the_configuration_has_a_longer_timeout(entry, text):
+    assert run_impatiently(entry(before=[dawdle]), text).rows == ()
+
+
+def test_other_commands_have_the_timeout_of_a_try(entry):
+    with pytest.raises(UnreachableError):
+        run_impatiently(entry(before=[dawdle] * 2), "show workers")
+
+
+def test_a_timeout_that_is_asked_for_holds_for_a_change(tmp_path, entry):
+    env = environment(tmp_path)
+    options = ["--entry", entry(before=[dawdle]).url, "--try-timeout", str(IMPATIENT_S)]
+    assert main(["drain", "worker", "w-1", *options], env) is ExitStatus.UNKNOWN
+
+
+def test_a_change_is_awaited_until_an_entry_gives_up_on_the_log():
+    one_append = log_service.REQUEST_TIMEOUT_S + publisher.LOST_ANSWER_WAIT_S
+    verdict = publisher.APPEND_ATTEMPTS * one_append + publisher.VERDICT_WAIT_S
+    assert ClientSettings(()).change_timeout > verdict
+
+
 def test_a_conflict_has_its_own_status(tmp_path, entry):
     env = environment(tmp_path, stdin="{}")
     url = entry(before=[refusal("", "not-run", 409)]).url
