Check a submission alike over HTTP, in a command and in the client

Cause: 'submit JSON' took an idempotent job of several tasks, and the nesting check stood twice, with bounds that differed by one where the innermost value is a scalar. Change: banyanwheel_core.submissions has both checks. The HTTP side now takes 100 levels whatever is innermost, as INTERFACE.md says; the builder's bound is unchanged.

--- a/packages/client/banyanwheel_client/cli/app.py
+++ b/packages/client/banyanwheel_client/cli/app.py
@@ -8,6 +8,7 @@
 from banyanwheel_core.documents import Document
 from banyanwheel_core.language import Reconfigure, Submit, parse
 from banyanwheel_core.models import JobSpec
+from banyanwheel_core.submissions import findings_of
 
 from ..errors import UsageError
 from .options import with_run
@@ -33,7 +34,7 @@
     file: Annotated[str, typer.Argument(help="A job as JSON; - is standard input.")],
 ):
     """Submit a job and print its answer."""
-    return run.execute(Submit(_read_json(run.environment, file, JobSpec)))
+    return run.execute(Submit(_read_job(run.environment, file)))
 
 
 @app.command()
@@ -108,12 +109,15 @@
     return run.execute(parse(" ".join(words)))
 
 
-def _read_json(environment, file, kind):
+def _read_job(environment, file):
     data = _read(environment, file)
     try:
-        return msgspec.json.decode(data, type=kind)
+        spec = msgspec.json.decode(data, type=JobSpec)
     except (msgspec.MsgspecError, RecursionError) as error:
         raise UsageError(f"{file}: {error}") from error
+    for finding in findings_of(spec):
+        raise UsageError(f"{file}: {finding}")
+    return spec
 
 
 def _read_configuration(environment, file):
--- a/packages/core/banyanwheel_core/language/builder.py
+++ b/packages/core/banyanwheel_core/language/builder.py
@@ -10,6 +10,7 @@
 from ..errors import InvalidIdError
 from ..ids import JobId
 from ..models import NAME_PATTERN, JobSpec
+from ..submissions import MAX_NESTING, findings_of, is_too_deep
 from .commands import (
     And,
     CancelJob,
@@ -35,7 +36,6 @@
 
 __all__ = ["CommandBuilder"]
 
-MAX_NESTING = 100  # levels of arrays and objects in a JSON value
 MAX_DURATION_MS = 999_999_999_999
 UNITS_MS = {"ms": 1, "s": 1_000, "m": 60_000, "h": 3_600_000}
 
@@ -67,7 +67,10 @@
 
     def submit(self, document):
         """``submit JSON``."""
-        return Submit(self._decode(document, JobSpec))
+        spec = self._decode(document, JobSpec)
+        for finding in findings_of(spec):
+            raise self._error(str(finding), document)
+        return Submit(spec)
 
     def cancel_job(self, word):
         """``cancel JOB_ID``."""
@@ -150,20 +153,14 @@
 
     def _decode(self, token, kind):
         try:
-            self._check_nesting(token)
+            if is_too_deep(str(token)):
+                raise self._too_deep(token)
             return msgspec.json.decode(str(token), type=kind)
         except msgspec.MsgspecError as error:
             raise self._error(str(error), token) from error
         except RecursionError as error:
             raise self._too_deep(token) from error
 
-    def _check_nesting(self, token):
-        level = _containers([msgspec.json.decode(str(token))])
-        for _ in range(MAX_NESTING):
-            level = [part for value in level for part in _containers_in(value)]
-        if level:
-            raise self._too_deep(token)
-
     def _too_deep(self, token):
         message = f"the JSON nests more than {MAX_NESTING} levels deep"
         return self._error(message, token)
@@ -202,11 +199,3 @@
 
     def _error(self, message, token, expected=()):
         return LanguageError(message, self._text, token.line, token.column, expected)
-
-
-def _containers_in(value):
-    return _containers(value.values() if isinstance(value, dict) else value)
-
-
-def _containers(values):
-    return [value for value in values if isinstance(value, dict | list)]
--- a/packages/daemon/banyanwheel_daemon/handlers.py
+++ b/packages/daemon/banyanwheel_daemon/handlers.py
@@ -12,6 +12,7 @@
 from banyanwheel_core import checking
 from banyanwheel_core.errors import FindingsError
 from banyanwheel_core.models import Reason
+from banyanwheel_core.submissions import MAX_NESTING, is_too_deep
 
 from . import problems
 from .problems import ProblemError
@@ -26,7 +27,6 @@
 ]
 
 JSON_TYPE = "application/json"
-MAX_NESTING = 100  # levels of arrays and objects
 OPENERS = (b"[", b"{")
 
 
@@ -259,24 +259,10 @@
 
 
 def _check_nesting(body):
-    """Refuses what would be too deep once it's wrapped in a message."""
-    if sum(body.count(opener) for opener in OPENERS) <= MAX_NESTING:
-        return
-    level = [msgspec.json.decode(body)]
-    for _ in range(MAX_NESTING):
-        level = [child for value in level for child in _children(value)]
-        if not level:
-            return
-    raise _too_deep()
-
-
-def _children(value):
-    match value:
-        case dict():
-            return list(value.values())
-        case list():
-            return value
-    return ()
+    """Looks into those bodies that have enough brackets to be too deep."""
+    brackets = sum(body.count(opener) for opener in OPENERS)
+    if brackets > MAX_NESTING and is_too_deep(body):
+        raise _too_deep()
 
 
 def _too_deep():
--- a/packages/daemon/banyanwheel_daemon/web.py
+++ b/packages/daemon/banyanwheel_daemon/web.py
@@ -13,7 +13,6 @@
 from tornado.netutil import bind_sockets
 
 from banyanwheel_core.errors import InvalidIdError, ListenError
-from banyanwheel_core.findings import Finding
 from banyanwheel_core.ids import JobId
 from banyanwheel_core.models import (
     DEFAULT_DEADLINE_MS,
@@ -22,6 +21,7 @@
     JobState,
     Reason,
 )
+from banyanwheel_core.submissions import findings_of
 
 from . import problems
 from .handlers import BodyHandler, build_application, count_nothing, probe_routes
@@ -110,9 +110,9 @@
 
     def _read_spec(self):
         spec = self.read_json(JobSpec)
-        if spec.idempotent and len(spec.tasks) > 1:
-            message = "only a job of one task can be idempotent"
-            raise ProblemError.from_findings([Finding("idempotent", message)])
+        findings = findings_of(spec)
+        if findings:
+            raise ProblemError.from_findings(findings)
         return spec
 
 
--- a/tests/client/test_submit.py
+++ b/tests/client/test_submit.py
@@ -124,6 +124,14 @@
     assert list(jobs.bodies) == [JOB_ID.format(1)]
 
 
+def test_a_job_of_two_tasks_that_says_idempotent_is_not_sent(tmp_path, entry, jobs):
+    job = json.dumps({**json.loads(JOB), "tasks": [{}, {}], "idempotent": True})
+    status, env = submit(tmp_path, entry().url, job=job)
+    assert status is ExitStatus.USAGE
+    assert "idempotent: only a job of one task" in env.stderr.getvalue()
+    assert jobs.issued == 0
+
+
 @pytest.mark.parametrize(
     ("arguments", "words"),
     [
--- a/tests/core/language/test_language.py
+++ b/tests/core/language/test_language.py
@@ -116,6 +116,12 @@
         ("drain rack dc-1/a/b", "1:12", "a name is lower-case"),
         ("drain worker A_b", "1:14", "a name is lower-case"),
         ('submit {"service": 1}', "1:8", "$.service"),
+        (
+            'submit {"service": "a", "subsidiary": "b", "kind": "c",'
+            ' "tasks": [{}, {}], "idempotent": true}',
+            "1:8",
+            "idempotent: only a job of one task",
+        ),
         ("reconfigure {]}", "1:13", "malformed"),
         ("reconfigure {} from x", "1:21", "a whole number"),
         ("reconfigure " + '{"a":' * 9999 + "1" + "}" * 9999, "1:13", "levels deep"),
--- a/tests/daemon/test_entry.py
+++ b/tests/daemon/test_entry.py
@@ -72,6 +72,7 @@
         ("/v1/job-ids?count=0", "", JSON, "malformed"),
         ("/v1/commands", "show job", TEXT, "malformed"),
         ("/v1/commands", 'reconfigure {"kinds": 3}', TEXT, "malformed"),
+        ("/v1/commands", f"submit {json.dumps(IDEMPOTENT)}", TEXT, "malformed"),
         ("/v1/commands", "show jobs", JSON, "wrong-content-type"),
         ("/v1/commands", " " * 2000, TEXT, "too-large"),
     ],
--- a/tests/daemon/test_web.py
+++ b/tests/daemon/test_web.py
@@ -178,6 +178,12 @@
     assert desk.refusals == [reason]
 
 
+def test_nesting_up_to_the_bound_is_taken():
+    payload = msgspec.Raw(b"[" * 97 + b"1" + b"]" * 97)  # below object, list, object
+    body = spec_with(tasks=[{"payload": payload}])
+    assert call("PUT", JOB, body)[0].code == 200
+
+
 def test_several_faults_are_told_together_with_the_nearest_name():
     body = b'{"service": 1, "subsidary": "b", "kind": "c", "tasks": [{}]}'
     _, problem = call("PUT", JOB, body)
