Correct names and texts that mislead

Cause: unused constants and the reserved reason wrong-incarnation; grant-forgotten stood under starts that certainly did not happen, yet its outcome is unknown; the state column told of states that are never listed; libzmq's strerror names the address that ListenError names already; Metrics had gauges only for what is read on demand. Change: the unused names are gone, the others corrected, with their pages; the test of ListenError now compares the whole text. Metrics.total registers an observable counter; node.py does not use it yet, and the benchmarks read both kinds.

--- a/benchmarks/scrape.py
+++ b/benchmarks/scrape.py
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Readings:
-    """Sums over daemons: counters by (name, reason), and gauges by name."""
+    """Sums over daemons: counters by (name, reason), and by name what has no reason."""
 
     counters: Counter
     gauges: Counter
@@ -123,6 +123,6 @@
     name = sample.name.removeprefix(PREFIX)
     reason = sample.labels.get("reason")
     if reason is None:
-        gauges[name] += sample.value
+        gauges[name.removesuffix("_total")] += sample.value
     else:
         counters[name.removesuffix("_total"), reason] += sample.value
--- a/packages/core/banyanwheel_core/language/tables.py
+++ b/packages/core/banyanwheel_core/language/tables.py
@@ -74,7 +74,9 @@
 
 COLUMNS = {
     Table.JOBS: (
-        *_texts(job="job id", state="waiting, running, complete or failed"),
+        *_texts(
+            job="job id", state="waiting or running: a job with an answer is not listed"
+        ),
         *_FLOW,
         *_numbers(
             tasks="tasks of the job",
--- a/packages/core/banyanwheel_core/models.py
+++ b/packages/core/banyanwheel_core/models.py
@@ -88,14 +88,13 @@
     EXPIRED_ID = "expired-id"
     WORKER_LOST = "worker-lost"
     LEASE_LAPSED = "lease-lapsed"
+    GRANT_FORGOTTEN = "grant-forgotten"
     # A start that is certain not to have happened.
     GRANT_LAPSED = "grant-lapsed"
     GRANT_REVOKED = "grant-revoked"
-    GRANT_FORGOTTEN = "grant-forgotten"
     CONNECT_FAILED = "connect-failed"
     # Causes of a retry or of a renewed connection.
     PEER_SILENT = "peer-silent"
-    WRONG_INCARNATION = "wrong-incarnation"
 
 
 class Needs(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/daemon/banyanwheel_daemon/metrics.py
+++ b/packages/daemon/banyanwheel_daemon/metrics.py
@@ -14,11 +14,9 @@
 )
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 
-__all__ = ["MESSAGES", "REFUSALS", "RETRIES", "Metrics"]
+__all__ = ["REFUSALS", "Metrics"]
 
-MESSAGES = "banyanwheel.messages"
 REFUSALS = "banyanwheel.refusals"
-RETRIES = "banyanwheel.retries"
 
 
 class Metrics:
@@ -62,6 +60,12 @@
             name, callbacks=[lambda options: [Observation(read())]], unit=unit
         )
 
+    def total(self, name, read, unit=""):
+        """Registers a counter whose value is ``read()``, which never falls."""
+        self._meter.create_observable_counter(
+            name, callbacks=[lambda options: [Observation(read())]], unit=unit
+        )
+
     def render(self):
         """Returns all metrics as bytes in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/packages/daemon/banyanwheel_daemon/transport.py
+++ b/packages/daemon/banyanwheel_daemon/transport.py
@@ -174,7 +174,7 @@
             self._router.bind(SCHEME + address)
         except zmq.ZMQError as error:
             self.close()
-            raise ListenError(f"{address}: {error.strerror}") from error
+            raise ListenError(f"{address}: {zmq.strerror(error.errno)}") from error
 
     def _open(self, kind):
         socket = self._zmq.socket(kind)
--- a/tests/daemon/test_logs_and_metrics.py
+++ b/tests/daemon/test_logs_and_metrics.py
@@ -21,11 +21,12 @@
     assert messages[0]["tasks"] == 3
 
 
-def test_counters_by_reason_and_gauges_are_rendered():
+def test_counters_by_reason_gauges_and_totals_are_rendered():
     metrics = Metrics("agent-1", "agent")
     metrics.count(REFUSALS, Reason.QUOTA)
     metrics.count(REFUSALS, Reason.QUOTA, 2)
     metrics.gauge("banyanwheel.free.slots", lambda: 7)
+    metrics.total("banyanwheel.bytes", lambda: 9)
     text = metrics.render().decode()
     metrics.close()
     (counted,) = [line for line in text.splitlines() if 'reason="quota"' in line]
@@ -35,3 +36,4 @@
         line.startswith("banyanwheel_free_slots") and line.endswith(" 7.0")
         for line in text.splitlines()
     )
+    assert "# TYPE banyanwheel_bytes_total counter" in text
--- a/tests/daemon/test_transport.py
+++ b/tests/daemon/test_transport.py
@@ -228,7 +228,9 @@
 
 def test_an_address_that_is_taken_is_a_listen_error():
     async def scenario(gulf):
-        with pytest.raises(ListenError, match=gulf.transport.address):
-            Transport("reef-1", "2", gulf.transport.address, print)
+        address = gulf.transport.address
+        with pytest.raises(ListenError) as caught:
+            Transport("reef-1", "2", address, print)
+        assert str(caught.value) == f"{address}: Address already in use"
 
     run(scenario, GULF)
