Move the commands' handler out of operations, and check content types in one place

Change: commands.py has the handler; BodyHandler.read_body(content_type) serves both. Run: pytest tests/daemon/test_entry, test_operations, test_web, test_backend: passed.

--- a/packages/daemon/banyanwheel_daemon/entry.py
+++ b/packages/daemon/banyanwheel_daemon/entry.py
@@ -9,12 +9,13 @@
 from banyanwheel_core.messages import InspectReply
 from banyanwheel_core.models import JobState, Reason
 
+from .commands import CommandsHandler
 from .desk import OperatorDesk
 from .lifecycle import Lifecycle
 from .logs import Branch, continue_job
 from .metrics import REFUSALS
 from .node import Node, serve
-from .operations import CommandsHandler, Operations
+from .operations import Operations
 from .problems import ProblemError
 from .publisher import Publisher
 from .web import WebServer, make_application
--- a/packages/daemon/banyanwheel_daemon/handlers.py
+++ b/packages/daemon/banyanwheel_daemon/handlers.py
@@ -122,11 +122,15 @@
             self.settings["count_refusal"](error.problem.reason)
         super().write_error(status_code, **kwargs)
 
+    def read_body(self, content_type):
+        """Returns the body; raises ProblemError for another type, or one too large."""
+        self._check_type(content_type)
+        self._check_size()
+        return bytes(self._body)
+
     def read_json(self, structure):
         """Returns the body as ``structure``; raises ProblemError for any fault."""
-        self._check_type()
-        self._check_size()
-        body = bytes(self._body)
+        body = self.read_body(JSON_TYPE)
         try:
             value = msgspec.json.decode(body, type=structure)
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
@@ -137,11 +141,11 @@
     def _leave(self, written=None):
         self.settings["in_progress"].discard(self)
 
-    def _check_type(self):
+    def _check_type(self, expected):
         header = self.request.headers.get("Content-Type", "")
         given = header.partition(";")[0].strip().lower()
-        if given != JSON_TYPE:
-            detail = f"the content type is '{given}' and must be {JSON_TYPE}"
+        if given != expected:
+            detail = f"the content type is '{given}' and must be {expected}"
             raise ProblemError(Reason.WRONG_TYPE, detail, place="Content-Type")
 
     def _check_size(self):
--- a/packages/daemon/banyanwheel_daemon/operations.py
+++ b/packages/daemon/banyanwheel_daemon/operations.py
@@ -8,14 +8,13 @@
 import msgspec
 
 from banyanwheel_core.documents import Document
-from banyanwheel_core.errors import BanyanwheelError, FindingsError
+from banyanwheel_core.errors import BanyanwheelError
 from banyanwheel_core.language import (
     COLUMNS,
     CancelJob,
     CancelJobs,
     Drain,
     DrainKind,
-    LanguageError,
     Reconfigure,
     Show,
     Submit,
@@ -23,16 +22,13 @@
     Undrain,
     Why,
     matches,
-    parse,
     select,
 )
 from banyanwheel_core.models import Answer, JobSpec, JobState, Outcome, Reason
 
-from .handlers import BodyHandler
-from .problems import PLAIN_TYPE, Problem, ProblemError
+from .problems import PLAIN_TYPE, Problem
 
 __all__ = [
-    "CommandsHandler",
     "Conflict",
     "Desk",
     "Inspection",
@@ -45,8 +41,6 @@
     "Verdict",
 ]
 
-TEXT_TYPE = "text/plain"
-ROWS_TYPE = "application/x-ndjson"
 PUBLISH_ATTEMPTS = 8  # of a drain that meets conflicts
 CONFLICT_PAUSE_S = 0.05  # before the next attempt
 CONCURRENT_CANCELS = 64
@@ -239,50 +233,6 @@
         raise _not_published(verdict)
 
 
-class CommandsHandler(BodyHandler):
-    """Serves ``POST /v1/commands``: a command as text, its rows as JSON lines.
-
-    Where members did not answer, the last line is ``{"incomplete": [names]}``.
-    """
-
-    def initialize(self, operations):
-        """Takes the :class:`Operations` to execute with."""
-        self._operations = operations
-
-    async def post(self):
-        """Executes the command in the body."""
-        try:
-            reply = await self._operations.execute(parse(self._text()))
-        except LanguageError as error:
-            detail = f"{error.sentence}\n{error.excerpt}"
-            raise ProblemError(Reason.MALFORMED, detail, place=error.place) from error
-        except FindingsError as error:
-            raise ProblemError.from_findings(error.findings) from error
-        except OperationError as error:
-            self.write_problem(error.problem)
-        else:
-            self._write_rows(reply)
-
-    def _text(self):
-        given = self.request.headers.get("Content-Type", "").partition(";")[0]
-        if given.strip().lower() != TEXT_TYPE:
-            detail = f"the content type is '{given}' and must be {TEXT_TYPE}"
-            raise ProblemError(Reason.WRONG_TYPE, detail, place="Content-Type")
-        self._check_size()
-        try:
-            return self._body.decode()
-        except UnicodeDecodeError as error:
-            detail = f"not UTF-8 at byte {error.start}"
-            raise ProblemError(Reason.MALFORMED, detail) from error
-
-    def _write_rows(self, reply):
-        lines = list(reply.rows)
-        if reply.silent:
-            lines.append({"incomplete": reply.silent})
-        self.set_header("Content-Type", ROWS_TYPE)
-        self.finish(b"".join(msgspec.json.encode(line) + b"\n" for line in lines))
-
-
 def _result_text(answer):
     if answer.state is JobState.COMPLETE:
         return "complete"
--- a/tests/daemon/test_operations.py
+++ b/tests/daemon/test_operations.py
@@ -9,9 +9,9 @@
 from banyanwheel_core.errors import BanyanwheelError
 from banyanwheel_core.language import Table, parse
 from banyanwheel_core.models import Answer, JobState, Outcome, Reason
+from banyanwheel_daemon.commands import CommandsHandler
 from banyanwheel_daemon.handlers import build_application
 from banyanwheel_daemon.operations import (
-    CommandsHandler,
     Conflict,
     Inspection,
     NotPublished,
