Write logic that stood twice once

Cause: both roles' settings repeated their common tables, three stand-ins counted a fault down alike, and two tests delivered up to a start by the same loop. Change: a base class of the settings, serving.count_down, World.deliver_until.

--- a/packages/daemon/banyanwheel_daemon/settings.py
+++ b/packages/daemon/banyanwheel_daemon/settings.py
@@ -164,15 +164,12 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class EntrySettings:
-    """Settings of ``banyanwheeld entry``."""
+class _RoleSettings:
+    """What the settings of both roles share."""
 
-    process: EntryProcess
-    entry: EntryListener
     log_service: LogServiceSettings
     peers: Peers = Peers()
     logs: LogFile = LogFile()
-    limits: EntryLimits = EntryLimits()
 
     @classmethod
     def from_file(cls, path):
@@ -181,19 +178,20 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class AgentSettings:
+class EntrySettings(_RoleSettings):
+    """Settings of ``banyanwheeld entry``."""
+
+    process: EntryProcess
+    entry: EntryListener
+    limits: EntryLimits = EntryLimits()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AgentSettings(_RoleSettings):
     """Settings of ``banyanwheeld agent``."""
 
     process: AgentProcess
     agent: AgentListener
-    log_service: LogServiceSettings
-    peers: Peers = Peers()
-    logs: LogFile = LogFile()
-
-    @classmethod
-    def from_file(cls, path):
-        """Reads a file; raises FindingsError with every fault in it."""
-        return checking.check(_read(path), cls)
 
 
 def check(path):
--- a/tests/core/drive.py
+++ b/tests/core/drive.py
@@ -87,6 +87,11 @@
         while self.wire:
             self.deliver(self.wire.popleft())
 
+    def deliver_until(self, kind):
+        """Delivers in order until a message of the class ``kind`` is the next."""
+        while not isinstance(self.wire[0][2], kind):
+            self.deliver(self.wire.popleft())
+
     def finish(self, number=0, outcome=TaskOutcome.DONE):
         peer, task = self.running.pop(number)
         body = msgspec.Raw(msgspec.json.encode([task.job_id, task.index]))
--- a/tests/core/test_coordinator.py
+++ b/tests/core/test_coordinator.py
@@ -67,8 +67,7 @@
 def test_a_start_after_its_grant_lapsed_is_placed_again():
     world = World(executors=1)
     world.submit(spec())
-    while not isinstance(world.wire[0][2], StartTasks):
-        world.deliver(world.wire.popleft())
+    world.deliver_until(StartTasks)
     world.advance(1.0)
     world.finish_all()
     assert world.answers[0].state == JobState.COMPLETE
@@ -78,8 +77,7 @@
 def test_a_question_about_an_unused_grant_revokes_it():
     world = World(executors=1)
     world.submit(spec())
-    while not isinstance(world.wire[0][2], StartTasks):
-        world.deliver(world.wire.popleft())
+    world.deliver_until(StartTasks)
     late_start = world.wire.popleft()
     world.perform(world.me, world.coordinator.peer_silent("x0", world.now))
     world.deliver_all()
--- a/tests/standins/backend_server.py
+++ b/tests/standins/backend_server.py
@@ -26,6 +26,7 @@
     StandInHandler,
     announce_ready,
     bind,
+    count_down,
     run_until_terminated,
 )
 
@@ -130,13 +131,8 @@
 
     def take_close(self):
         """Says whether this answer is replaced by a closed connection."""
-        left = self.faults.close_instead_of_answer
-        if left <= 0:
-            return False
-        self.faults = msgspec.structs.replace(
-            self.faults, close_instead_of_answer=left - 1
-        )
-        return True
+        due, self.faults = count_down(self.faults, "close_instead_of_answer")
+        return due
 
     async def run(self, key, token, run_ms, lease_ms):
         """Runs a task; returns the reason if it was stopped, else an empty text."""
--- a/tests/standins/log_service.py
+++ b/tests/standins/log_service.py
@@ -16,6 +16,7 @@
     StandInHandler,
     announce_ready,
     bind,
+    count_down,
     run_until_terminated,
 )
 
@@ -83,11 +84,8 @@
 
     def take_lost_answer(self):
         """Says whether the answer to this append is to be lost."""
-        left = self.faults.lose_append_answers
-        if left <= 0:
-            return False
-        self.faults = msgspec.structs.replace(self.faults, lose_append_answers=left - 1)
-        return True
+        due, self.faults = count_down(self.faults, "lose_append_answers")
+        return due
 
     async def wait_for(self, name, offset, wait_s):
         """Waits until a record at or after ``offset`` is kept, or a fault begins."""
--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -18,6 +18,7 @@
     StandInHandler,
     announce_ready,
     bind,
+    count_down,
     run_until_terminated,
 )
 
@@ -166,11 +167,8 @@
 
     def take_lost_answer(self):
         """Says whether the connection of this answer is to be closed."""
-        left = self.faults.lose_answers
-        if left <= 0:
-            return False
-        self.faults = msgspec.structs.replace(self.faults, lose_answers=left - 1)
-        return True
+        due, self.faults = count_down(self.faults, "lose_answers")
+        return due
 
     async def relay(self, stream):
         """Relays one accepted connection."""
--- a/tests/standins/serving.py
+++ b/tests/standins/serving.py
@@ -14,6 +14,7 @@
     "StandInHandler",
     "announce_ready",
     "bind",
+    "count_down",
     "run_until_terminated",
 ]
 
@@ -31,6 +32,14 @@
     print(json.dumps({"ready": True, "address": address, **others}), flush=True)
 
 
+def count_down(faults, name):
+    """Returns whether the fault ``name`` is due once more, and the faults after it."""
+    left = getattr(faults, name)
+    if left <= 0:
+        return False, faults
+    return True, msgspec.structs.replace(faults, **{name: left - 1})
+
+
 def run_until_terminated(main):
     """Runs the coroutine function ``main`` with an event that SIGTERM sets."""
 
