Rename what stood under one name with two meanings

Cause: announcements.py, Conflict and EntryLimits each meant two things. Change: core's module is announcement_schedule, the daemon's backend_endpoint; the verdict told to an operator is PublishConflict, beside the configuration's Conflict; [limits] of an entry's settings is RequestLimits. In agent.py only two imports change.

--- a/packages/daemon/banyanwheel_daemon/agent.py
+++ b/packages/daemon/banyanwheel_daemon/agent.py
@@ -6,7 +6,7 @@
 import msgspec
 from eliot import log_message
 
-from banyanwheel_core.announcements import AnnouncementSchedule
+from banyanwheel_core.announcement_schedule import AnnouncementSchedule
 from banyanwheel_core.coordinator import Coordinator
 from banyanwheel_core.effects import Abort, Execute, Peer, Send
 from banyanwheel_core.executor import Executor
@@ -21,8 +21,8 @@
 )
 from banyanwheel_core.placement import Placement
 
-from .announcements import make_application
 from .backend import BackendClient
+from .backend_endpoint import make_application
 from .lifecycle import Lifecycle
 from .log_service import LogError
 from .logs import Branch, continue_job
--- a/packages/daemon/banyanwheel_daemon/operations.py
+++ b/packages/daemon/banyanwheel_daemon/operations.py
@@ -29,12 +29,12 @@
 from .problems import PLAIN_TYPE, Problem
 
 __all__ = [
-    "Conflict",
     "Desk",
     "Inspection",
     "NotPublished",
     "OperationError",
     "Operations",
+    "PublishConflict",
     "Published",
     "Reply",
     "Row",
@@ -70,7 +70,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Conflict:
+class PublishConflict:
     """Nothing changed: the version at ``offset`` came first."""
 
     offset: int
@@ -88,7 +88,7 @@
     place: str = ""
 
 
-Verdict = Published | Conflict | NotPublished
+Verdict = Published | PublishConflict | NotPublished
 
 
 class Desk(Protocol):
@@ -214,7 +214,7 @@
                 case Published(offset):
                     row = _drain_row(kind, name, drained, offset, changed=True)
                     return Reply((row,))
-                case Conflict():
+                case PublishConflict():
                     await asyncio.sleep(self._conflict_pause_s)
                 case NotPublished():
                     raise _not_published(verdict)
@@ -228,7 +228,7 @@
         match verdict:
             case Published(offset):
                 return Reply(({"result": "in force", "offset": offset, "from": base},))
-            case Conflict(offset):
+            case PublishConflict(offset):
                 raise _conflict(offset, base)
         raise _not_published(verdict)
 
--- a/packages/daemon/banyanwheel_daemon/publisher.py
+++ b/packages/daemon/banyanwheel_daemon/publisher.py
@@ -14,7 +14,7 @@
 from banyanwheel_core.models import Outcome
 
 from .log_service import AppendUncertain, LogError
-from .operations import Conflict, NotPublished, Published
+from .operations import NotPublished, PublishConflict, Published
 
 __all__ = ["Publisher"]
 
@@ -60,8 +60,8 @@
     async def publish(self, document, base):
         """Publishes a decoded document made from the version at ``base``.
 
-        Returns Published with its offset, Conflict with the offset of the version
-        that came first, or NotPublished with what to do.
+        Returns Published with its offset, PublishConflict with the offset of the
+        version that came first, or NotPublished with what to do.
         """
         data = msgspec.json.encode(document)
         try:
@@ -94,9 +94,9 @@
             if base < self._configuration.offset:
                 break
             outcome = await self._attempt(data, base)
-            if not isinstance(outcome, Conflict):
+            if not isinstance(outcome, PublishConflict):
                 return outcome
-        return Conflict(self._configuration.offset)
+        return PublishConflict(self._configuration.offset)
 
     async def _attempt(self, data, base):
         """Appends a record until it is certain to be on the log or not."""
@@ -144,6 +144,6 @@
         case versions.Accepted(offset=offset):
             return Published(offset)
         case versions.Conflict(in_force=in_force):
-            return Conflict(in_force)
+            return PublishConflict(in_force)
         case versions.Invalid(findings=findings):
             return NotPublished(Outcome.NOT_RUN, str(FindingsError(findings)))
--- a/packages/daemon/banyanwheel_daemon/settings.py
+++ b/packages/daemon/banyanwheel_daemon/settings.py
@@ -17,7 +17,7 @@
     "AgentListener",
     "AgentProcess",
     "AgentSettings",
-    "EntryLimits",
+    "RequestLimits",
     "EntryListener",
     "EntryProcess",
     "EntrySettings",
@@ -157,7 +157,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class EntryLimits:
+class RequestLimits:
     """Bounds on what callers may send to an entry."""
 
     max_body_bytes: Size = 4 * 1024 * 1024
@@ -183,7 +183,7 @@
 
     process: EntryProcess
     entry: EntryListener
-    limits: EntryLimits = EntryLimits()
+    limits: RequestLimits = RequestLimits()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from banyanwheel_core.announcements import AnnouncementSchedule
+from banyanwheel_core.announcement_schedule import AnnouncementSchedule
 from banyanwheel_core.effects import Peer
 from banyanwheel_core.membership import Membership
 from banyanwheel_core.messages import KnownMember, MemberRecord, MembersReply
--- a/tests/daemon/test_backend.py
+++ b/tests/daemon/test_backend.py
@@ -11,8 +11,8 @@
 
 from banyanwheel_core.messages import TaskStart
 from banyanwheel_core.models import Announcement, Reason, TaskOutcome
-from banyanwheel_daemon.announcements import make_application
 from banyanwheel_daemon.backend import BackendClient
+from banyanwheel_daemon.backend_endpoint import make_application
 from banyanwheel_daemon.web import WebServer
 
 HANG_SECONDS = 20
--- a/tests/daemon/test_operations.py
+++ b/tests/daemon/test_operations.py
@@ -12,11 +12,11 @@
 from banyanwheel_daemon.commands import CommandsHandler
 from banyanwheel_daemon.handlers import build_application
 from banyanwheel_daemon.operations import (
-    Conflict,
     Inspection,
     NotPublished,
     OperationError,
     Operations,
+    PublishConflict,
     Published,
 )
 
@@ -81,7 +81,7 @@
             self.offset += 1
             self.document = self.rivals.pop(0)
         if base != self.offset:
-            return Conflict(self.offset)
+            return PublishConflict(self.offset)
         self.offset += 1
         self.document = document
         return Published(self.offset)
--- a/tests/daemon/test_publisher.py
+++ b/tests/daemon/test_publisher.py
@@ -10,7 +10,7 @@
 from banyanwheel_core.configuration import Configuration
 from banyanwheel_core.models import Outcome
 from banyanwheel_daemon.log_service import Follower, LogService
-from banyanwheel_daemon.operations import Conflict, NotPublished, Published
+from banyanwheel_daemon.operations import NotPublished, PublishConflict, Published
 from banyanwheel_daemon.publisher import Publisher
 from tests.standins.calls import call
 from tests.standins.process import StandIns
@@ -84,7 +84,7 @@
                 one.publish(DRAIN, -1), two.publish(OTHER, -1)
             )
             (winner,) = (o for o in outcomes if isinstance(o, Published))
-            assert Conflict(winner.offset) in outcomes
+            assert PublishConflict(winner.offset) in outcomes
 
     run(body, log_address)
 
@@ -132,7 +132,7 @@
             assert await publisher.publish(DRAIN, -1) == Published(0)
             assert await publisher.publish(DRAIN, 0) == Published(1)
             assert await publisher.publish(EMPTY, 0) == Published(2)
-            assert await publisher.publish(DRAIN, 1) == Conflict(2)
+            assert await publisher.publish(DRAIN, 1) == PublishConflict(2)
 
     run(body, log_address)
 
