--- a/packages/daemon/banyanwheel_daemon/settings.py
+++ b/packages/daemon/banyanwheel_daemon/settings.py
@@ -17,7 +17,7 @@
     "AgentListener",
     "AgentProcess",
     "AgentSettings",
-    "EntryLimits",
+    "RequestLimits",
     "EntryListener",
     "EntryProcess",
     "EntrySettings",
@@ -157,22 +157,19 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class EntryLimits:
+class RequestLimits:
     """Bounds on what callers may send to an entry."""
 
     max_body_bytes: Size = 4 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class EntrySettings:
-    """Settings of ``banyanwheeld entry``."""
+class _RoleSettings:
+    """What the settings of both roles share."""
 
-    process: EntryProcess
-    entry: EntryListener
     log_service: LogServiceSettings
     peers: Peers = Peers()
     logs: LogFile = LogFile()
-    limits: EntryLimits = EntryLimits()
 
     @classmethod
     def from_file(cls, path):
@@ -181,19 +178,20 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class AgentSettings:
+class EntrySettings(_RoleSettings):
+    """Settings of ``banyanwheeld entry``."""
+
+    process: EntryProcess
+    entry: EntryListener
+    limits: RequestLimits = RequestLimits()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AgentSettings(_RoleSettings):
     """Settings of ``banyanwheeld agent``."""
 
     process: AgentProcess
     agent: AgentListener
-    log_service: LogServiceSettings
-    peers: Peers = Peers()
-    logs: LogFile = LogFile()
-
-    @classmethod
-    def from_file(cls, path):
-        """Reads a file; raises FindingsError with every fault in it."""
-        return checking.check(_read(path), cls)
 
 
 def check(path):
