Take no ids of a replaced coordinator, and announce an advertised address

Cause: an entry kept the ids of a coordinator that it had heard to be replaced, and in a log outage the membership could not correct it; a settings' address is a subclass of str, which the codec refuses.

--- a/packages/core/banyanwheel_core/entry.py
+++ b/packages/core/banyanwheel_core/entry.py
@@ -105,6 +105,7 @@
         self._timers = Timers()
         self._policy = Policy()
         self._response_seconds = {}
+        self._replaced = {}
 
     @property
     def pending(self):
@@ -223,7 +224,13 @@
 
     def _choose_coordinators(self):
         """Members that may coordinate, those of the own data centre first."""
-        members = [m for m in self._members.members if not m.leaving]
+        members = [
+            member
+            for member in self._members.members
+            if not member.leaving
+            and self._replaced.get(member.name, member.incarnation)
+            == member.incarnation
+        ]
         near = [m for m in members if m.data_centre == self._data_centre]
         far = [m for m in members if m.data_centre != self._data_centre]
         wanted = self._limits.coordinators
@@ -447,6 +454,10 @@
 
     def peer_replaced(self, name, incarnation, now):
         """Another incarnation runs under this name: the earlier one is gone."""
+        self._replaced[name] = incarnation
+        for peer in [peer for peer in self._stocks if peer.name == name]:
+            if peer.incarnation != incarnation:
+                del self._stocks[peer]
         effects = []
         for pending in list(self._pending.values()):
             owner = JobId.parse(pending.job_id).coordinator
--- a/packages/daemon/banyanwheel_daemon/agent.py
+++ b/packages/daemon/banyanwheel_daemon/agent.py
@@ -234,7 +234,7 @@
         return MemberRecord(
             name=self._identity.name,
             incarnation=self._identity.incarnation,
-            address=self._settings.agent.advertise or self.address,
+            address=str(self._settings.agent.advertise or self.address),
             data_centre=self._settings.process.data_centre,
             rack=self._settings.process.rack,
             services=announcement.services if announcement else (),
