--- a/packages/core/banyanwheel_core/entry.py
+++ b/packages/core/banyanwheel_core/entry.py
@@ -26,6 +26,8 @@
 
 __all__ = ["Entry", "EntryLimits", "NoIdsError"]
 
+SAMPLES = 4  # coordinators compared for one job
+REPORT_VALID_SECONDS = 1.0  # an older report of a load counts as none
 MOVABLE = {Reason.STOPPING, Reason.TABLE_FULL, Reason.UNKNOWN_ID, Reason.NO_WORKER}
 
 
@@ -55,6 +57,16 @@
     requested_at: float | None = None
 
 
+@dataclass(slots=True)
+class _Report:
+    """The last load of an agent, less what was sent there since."""
+
+    free_slots: int
+    queued_ms: int
+    pace: float
+    at: float
+
+
 @dataclass(slots=True)
 class _Pending:
     """A caller's request that waits for an answer."""
@@ -114,9 +126,9 @@
         """Puts the operators' bounds on submissions in force."""
         self._policy = policy
 
-    def loaded(self, name, load):
+    def loaded(self, name, load, now):
         """Takes in a load that an agent reported."""
-        self._loads[name] = load
+        self._loads[name] = _Report(load.free_slots, load.queued_ms, load.pace, now)
 
     def take_ids(self, count, now):
         """Returns ids for a caller that submits later; raises NoIdsError."""
@@ -160,14 +172,14 @@
         match message:
             case IdBlock():
                 return self._stock_up(sender, message, now)
-            case JobAnswer(answer=answer):
-                return self._answered(answer, now)
+            case JobAnswer():
+                return self._answered(message, now)
             case JobAccepted(job_id=job_id):
                 return self._accepted(job_id)
         return []
 
     def tick(self, now):
-        """Acts on deadlines, and fetches ids before they run out."""
+        """Acts on the deadlines that have come."""
         effects = []
         for key in self._timers.due(now):
             match key:
@@ -175,11 +187,12 @@
                     effects += self._give_up(name)
                 case token:
                     effects += self._timed_out(self._pending[token])
-        return effects + self._fetch_ids(now)
+        return effects
 
     # Ids.
 
-    def _fetch_ids(self, now):
+    def fetch_ids(self, now):
+        """Asks for ids before those at hand run out."""
         self._drop_stale(now)
         at_hand = sum(len(stock.ids) for stock in self._stocks.values())
         effects = []
@@ -229,7 +242,7 @@
         return []
 
     def _take_id(self, now):
-        """Takes an id of the less loaded of two coordinators with ids."""
+        """Takes an id of the least loaded in a sample of coordinators with ids."""
         self._drop_stale(now)
         usable = [
             peer
@@ -238,21 +251,23 @@
         ]
         if not usable:
             raise NoIdsError("no coordinator has issued ids to this entry")
-        sample = self._random.sample(usable, min(2, len(usable)))
-        chosen = min(sample, key=self._cost)
+        sample = self._random.sample(usable, min(SAMPLES, len(usable)))
+        chosen = min(sample, key=lambda peer: self._cost(peer, now))
         self._taken(chosen)
         return self._stocks[chosen].ids.popleft()
 
-    def _cost(self, peer):
-        load = self._loads.get(peer.name)
-        if load is None:
-            return (0, 0)
-        return (load.queued_ms, -load.free_slots)
+    def _cost(self, peer, now):
+        """Orders coordinators: free slots on a fast worker first, then the queue."""
+        report = self._loads.get(peer.name)
+        if report is None or now - report.at > REPORT_VALID_SECONDS:
+            return (False, 1.0, 0)
+        busy = report.free_slots <= 0
+        return (busy, report.queued_ms if busy else report.pace, -report.free_slots)
 
     def _taken(self, peer):
-        load = self._loads.get(peer.name)
-        if load is not None and load.free_slots:
-            self._loads[peer.name] = type(load)(load.free_slots - 1, load.queued_ms)
+        report = self._loads.get(peer.name)
+        if report is not None:
+            report.free_slots -= 1
 
     # Requests.
 
@@ -294,9 +309,12 @@
             answer = refused(job_id or "", reason, detail, 1_000)
         return [Answered(token, answer), _refusal(reason)]
 
-    def _answered(self, answer, now):
+    def _answered(self, message, now):
+        answer = message.answer
         effects = []
         for pending in list(self._by_job.get(answer.id, {}).values()):
+            if not _answers(message, pending):
+                continue
             if self._may_move(pending, answer):
                 effects += self._move(pending, answer, now)
             else:
@@ -420,6 +438,14 @@
         return self._unreachable(pending)
 
 
+def _answers(message, pending):
+    """Tells whether an answer is meant for this caller's request."""
+    if message.fingerprint == pending.fingerprint:
+        return True
+    conflict = message.answer.reason is Reason.ID_CONFLICT
+    return not pending.fingerprint and not conflict
+
+
 def _running(job_id):
     return Answer(job_id, state="running")
 
--- a/packages/core/banyanwheel_core/messages.py
+++ b/packages/core/banyanwheel_core/messages.py
@@ -114,9 +114,14 @@
 
 
 class JobAnswer(_Message):
-    """The one answer of a job."""
+    """The one answer of a job.
+
+    ``fingerprint`` is that of the submission answered, empty after a question about
+    a job that is not known; two callers may use one id at the same time.
+    """
 
     answer: Answer
+    fingerprint: str = ""
 
 
 # Coordinator and executor.
@@ -233,10 +238,14 @@
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
-    """An agent's load, sent along with other messages."""
+    """An agent's load, sent along with other messages.
+
+    ``pace`` is the run time of tasks at its backend server over the fleet's.
+    """
 
     free_slots: int
     queued_ms: int
+    pace: float = 1.0
 
 
 class MemberRecord(msgspec.Struct, frozen=True):
