Announce new records by way of the entries while the log takes none

Cause: in a log outage a replaced agent's leave record and its successor's announcement reached nobody. The entries kept issuing ids of the incarnation that had gone, and each such job was answered coordinator-gone, unknown. Ruled out: wrong answers (the checker found none) and the newcomer's own view (it learnt members and configuration from the entries). Change: an agent whose new record the log did not take sends it to the entries of its settings, and an entry passes it on to the members, once per record.

--- a/packages/daemon/banyanwheel_daemon/agent.py
+++ b/packages/daemon/banyanwheel_daemon/agent.py
@@ -16,7 +16,9 @@
     InspectReply,
     InspectRequest,
     JobAnswer,
+    KnownMember,
     MemberRecord,
+    MembersReply,
     SubmitJob,
 )
 from banyanwheel_core.models import Reason
@@ -57,6 +59,7 @@
             settings.agent.announce_lifetime_ms / 1_000, self._random
         )
         self._announced = None
+        self._logged = None  # the newest record that the log took
         self._announcing = False
         self._leaving = False
         self._successor = ""
@@ -257,12 +260,23 @@
         except LogError as error:
             self._schedule.failed(time.monotonic())
             log_message("members:not-announced", fault=str(error))
+            self._tell_entries(record)
             return False
         finally:
             self._announcing = False
+        self._logged = record
         self._schedule.succeeded(time.monotonic())
         return True
 
+    def _tell_entries(self, record):
+        """Announces a new record by way of the entries, as the log did not take it."""
+        if record == self._logged:
+            return
+        self._learn_record(record)
+        message = MembersReply((KnownMember(record, 0),))
+        for address in self._settings.peers.entries:
+            self.send_to(Peer(address, ""), address, message)
+
     # Leaving.
 
     async def _leave(self):
--- a/packages/daemon/banyanwheel_daemon/entry.py
+++ b/packages/daemon/banyanwheel_daemon/entry.py
@@ -4,8 +4,9 @@
 import itertools
 import time
 
+from banyanwheel_core.effects import Peer
 from banyanwheel_core.entry import Entry, NoIdsError
-from banyanwheel_core.messages import InspectReply
+from banyanwheel_core.messages import InspectReply, KnownMember, MembersReply
 from banyanwheel_core.models import JobState, Reason
 
 from .desk import OperatorDesk
@@ -127,8 +128,22 @@
         if isinstance(message, InspectReply):
             self._desk.replied(sender, message)
             return []
+        if isinstance(message, MembersReply):
+            self._pass_on(sender, message)
         return super()._decide(sender, message, now)
 
+    def _pass_on(self, sender, reply):
+        """Tells the agents of one whose new record the log did not take."""
+        match reply.members:
+            case (KnownMember(record=record),) if record.name == sender.name:
+                known = self._members.find(sender.name) == record
+            case _:
+                return
+        for member in () if known else self._members.members:
+            if member.name != sender.name:
+                peer = Peer(member.name, member.incarnation)
+                self.send_to(peer, member.address, reply)
+
     # The JobDesk.
 
     async def issue_ids(self, count):
--- a/packages/daemon/banyanwheel_daemon/node.py
+++ b/packages/daemon/banyanwheel_daemon/node.py
@@ -267,6 +267,16 @@
             load=self.load,
         )
 
+    def send_to(self, peer, address, message):
+        """Sends a message to an address, whether or not the peer is a known member."""
+        self._transport.send(
+            peer,
+            address,
+            message,
+            configuration=self._configuration.advertised,
+            load=self.load,
+        )
+
     def _address_for(self, peer, message):
         if isinstance(message, _REPLIES):
             return None
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -41,6 +41,16 @@
       | entry-1 | server-1 |
       | agent-1 | server-1 |
 
+  @graceful-stop @own-answer
+  Scenario: An id is repeated after its coordinator left in an outage
+    Given the log service fails: down
+    When a job of 2 tasks of 50 ms is submitted through entry-1
+    And every job is answered
+    And the job's coordinator is replaced
+    And the same id is submitted through entry-2
+    Then every job is complete
+    And every promise is kept
+
   @configuration
   Scenario: The answer to the append of a version is lost
     Given the log service loses the answer to the next append
