--- a/packages/core/banyanwheel_core/entry.py
+++ b/packages/core/banyanwheel_core/entry.py
@@ -105,7 +105,7 @@
         self._timers = Timers()
         self._policy = Policy()
         self._response_seconds = {}
-        self._replaced = {}
+        self._gone = {}
 
     @property
     def pending(self):
@@ -227,9 +227,7 @@
         members = [
             member
             for member in self._members.members
-            if not member.leaving
-            and self._replaced.get(member.name, member.incarnation)
-            == member.incarnation
+            if not member.leaving and self._gone.get(member.name) != member.incarnation
         ]
         near = [m for m in members if m.data_centre == self._data_centre]
         far = [m for m in members if m.data_centre != self._data_centre]
@@ -454,7 +452,9 @@
 
     def peer_replaced(self, name, incarnation, now):
         """Another incarnation runs under this name: the earlier one is gone."""
-        self._replaced[name] = incarnation
+        member = self._members.find(name)
+        if member is not None and member.incarnation != incarnation:
+            self._gone[name] = member.incarnation
         for peer in [peer for peer in self._stocks if peer.name == name]:
             if peer.incarnation != incarnation:
                 del self._stocks[peer]
