--- a/packages/daemon/banyanwheel_daemon/agent.py
+++ b/packages/daemon/banyanwheel_daemon/agent.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from functools import partial
 
 import msgspec
 from eliot import log_message
@@ -29,6 +30,7 @@
 from .lifecycle import Lifecycle
 from .log_service import LogError
 from .logs import Branch, continue_job
+from .metrics import REFUSALS
 from .node import Node, serve
 from .web import WebServer
 
@@ -71,6 +73,7 @@
             self._on_announcement,
             lambda: self._lifecycle.serving,
             self._metrics.render,
+            partial(self._metrics.count, REFUSALS),
         )
         self._web = WebServer(application)
         self._web.listen(settings.agent.http.host, settings.agent.http.port)
--- a/packages/daemon/banyanwheel_daemon/node.py
+++ b/packages/daemon/banyanwheel_daemon/node.py
@@ -203,7 +203,7 @@
         }
         for field in dataclasses.fields(self._transport.counts):
             read = partial(getattr, self._transport.counts, field.name)
-            gauges[f"banyanwheel.transport.{field.name}"] = read
+            self._metrics.total(f"banyanwheel.transport.{field.name}", read)
         for name, read in gauges.items():
             self._metrics.gauge(name, read)
 
