--- a/packages/core/banyanwheel_core/entry.py
+++ b/packages/core/banyanwheel_core/entry.py
@@ -105,6 +105,7 @@
         self._timers = Timers()
         self._policy = Policy()
         self._response_seconds = {}
+        self._gone = {}
 
     @property
     def pending(self):
@@ -223,7 +224,11 @@
 
     def _choose_coordinators(self):
         """Members that may coordinate, those of the own data centre first."""
-        members = [m for m in self._members.members if not m.leaving]
+        members = [
+            member
+            for member in self._members.members
+            if not member.leaving and self._gone.get(member.name) != member.incarnation
+        ]
         near = [m for m in members if m.data_centre == self._data_centre]
         far = [m for m in members if m.data_centre != self._data_centre]
         wanted = self._limits.coordinators
@@ -447,6 +452,12 @@
 
     def peer_replaced(self, name, incarnation, now):
         """Another incarnation runs under this name: the earlier one is gone."""
+        member = self._members.find(name)
+        if member is not None and member.incarnation != incarnation:
+            self._gone[name] = member.incarnation
+        for peer in [peer for peer in self._stocks if peer.name == name]:
+            if peer.incarnation != incarnation:
+                del self._stocks[peer]
         effects = []
         for pending in list(self._pending.values()):
             owner = JobId.parse(pending.job_id).coordinator
--- a/packages/daemon/banyanwheel_daemon/agent.py
+++ b/packages/daemon/banyanwheel_daemon/agent.py
@@ -6,7 +6,7 @@
 import msgspec
 from eliot import log_message
 
-from banyanwheel_core.announcements import AnnouncementSchedule
+from banyanwheel_core.announcement_schedule import AnnouncementSchedule
 from banyanwheel_core.coordinator import Coordinator
 from banyanwheel_core.effects import Abort, Execute, Peer, Send
 from banyanwheel_core.executor import Executor
@@ -16,14 +16,16 @@
     InspectReply,
     InspectRequest,
     JobAnswer,
+    KnownMember,
     MemberRecord,
+    MembersReply,
     SubmitJob,
 )
 from banyanwheel_core.models import Reason
 from banyanwheel_core.placement import Placement
 
-from .announcements import make_application
 from .backend import BackendClient
+from .backend_endpoint import make_application
 from .lifecycle import Lifecycle
 from .log_service import LogError
 from .logs import Branch, continue_job
@@ -57,6 +59,7 @@
             settings.agent.announce_lifetime_ms / 1_000, self._random
         )
         self._announced = None
+        self._logged = None  # the newest record that the log took
         self._announcing = False
         self._leaving = False
         self._successor = ""
@@ -234,7 +237,7 @@
         return MemberRecord(
             name=self._identity.name,
             incarnation=self._identity.incarnation,
-            address=self._settings.agent.advertise or self.address,
+            address=str(self._settings.agent.advertise or self.address),
             data_centre=self._settings.process.data_centre,
             rack=self._settings.process.rack,
             services=announcement.services if announcement else (),
@@ -257,12 +260,23 @@
         except LogError as error:
             self._schedule.failed(time.monotonic())
             log_message("members:not-announced", fault=str(error))
+            self._tell_entries(record)
             return False
         finally:
             self._announcing = False
+        self._logged = record
         self._schedule.succeeded(time.monotonic())
         return True
 
+    def _tell_entries(self, record):
+        """Announces a new record by way of the entries, as the log did not take it."""
+        if record == self._logged:
+            return
+        self._learn_record(record)
+        message = MembersReply((KnownMember(record, 0),))
+        for address in self._settings.peers.entries:
+            self.send_to(Peer(address, ""), address, message)
+
     # Leaving.
 
     async def _leave(self):
--- a/packages/daemon/banyanwheel_daemon/entry.py
+++ b/packages/daemon/banyanwheel_daemon/entry.py
@@ -3,16 +3,20 @@
 import asyncio
 import itertools
 import time
+from functools import partial
 
+from banyanwheel_core.effects import Peer
 from banyanwheel_core.entry import Entry, NoIdsError
-from banyanwheel_core.messages import InspectReply
+from banyanwheel_core.messages import InspectReply, KnownMember, MembersReply
 from banyanwheel_core.models import JobState, Reason
 
+from .commands import CommandsHandler
 from .desk import OperatorDesk
 from .lifecycle import Lifecycle
 from .logs import Branch, continue_job
+from .metrics import REFUSALS
 from .node import Node, serve
-from .operations import CommandsHandler, Operations
+from .operations import Operations
 from .problems import ProblemError
 from .publisher import Publisher
 from .web import WebServer, make_application
@@ -50,6 +54,7 @@
         application = make_application(
             self,
             self._metrics.render,
+            count_refusal=partial(self._metrics.count, REFUSALS),
             max_body_bytes=settings.limits.max_body_bytes,
             routes=[(r"/v1/commands", CommandsHandler, options)],
         )
@@ -66,6 +71,11 @@
         """Whether new work is welcome: serving, with ids at hand."""
         return self._lifecycle.serving and self._entry.ready
 
+    @property
+    def http_address(self):
+        """The address that callers use, as ``ip:port``."""
+        return self._web.addresses[0]
+
     async def main(self, env):
         """Runs until a signal asks to stop, then finishes what is in progress."""
         self.start()
@@ -127,8 +137,22 @@
         if isinstance(message, InspectReply):
             self._desk.replied(sender, message)
             return []
+        if isinstance(message, MembersReply):
+            self._pass_on(sender, message)
         return super()._decide(sender, message, now)
 
+    def _pass_on(self, sender, reply):
+        """Tells the agents of one whose new record the log did not take."""
+        match reply.members:
+            case (KnownMember(record=record),) if record.name == sender.name:
+                known = self._members.find(sender.name) == record
+            case _:
+                return
+        for member in () if known else self._members.members:
+            if member.name != sender.name:
+                peer = Peer(member.name, member.incarnation)
+                self.send_to(peer, member.address, reply)
+
     # The JobDesk.
 
     async def issue_ids(self, count):
--- a/packages/daemon/banyanwheel_daemon/handlers.py
+++ b/packages/daemon/banyanwheel_daemon/handlers.py
@@ -12,6 +12,7 @@
 from banyanwheel_core import checking
 from banyanwheel_core.errors import FindingsError
 from banyanwheel_core.models import Reason
+from banyanwheel_core.submissions import MAX_NESTING, is_too_deep
 
 from . import problems
 from .problems import ProblemError
@@ -21,11 +22,11 @@
     "JsonHandler",
     "NotFoundHandler",
     "build_application",
+    "count_nothing",
     "probe_routes",
 ]
 
 JSON_TYPE = "application/json"
-MAX_NESTING = 100  # levels of arrays and objects
 OPENERS = (b"[", b"{")
 
 
@@ -83,8 +84,9 @@
     """Reads a bounded body; what is beyond the bound is read and let go.
 
     A connection closed before the whole body was read would lose the answer.
-    The application's settings give the bound ``max_body_bytes`` and a set
-    ``in_progress`` that holds each handler until its answer is written out.
+    The application's settings give the bound ``max_body_bytes``, a set
+    ``in_progress`` that holds each handler until its answer is written out, and
+    ``count_refusal(reason)``, which is called once for each refused request.
     """
 
     def prepare(self):
@@ -113,11 +115,22 @@
         super().on_connection_close()
         self._leave()
 
+    def write_error(self, status_code, **kwargs):
+        """Counts a refusal, and turns any error into a problem."""
+        _, error, _ = kwargs.get("exc_info", (None, None, None))
+        if isinstance(error, ProblemError):
+            self.settings["count_refusal"](error.problem.reason)
+        super().write_error(status_code, **kwargs)
+
+    def read_body(self, content_type):
+        """Returns the body; raises ProblemError for another type, or one too large."""
+        self._check_type(content_type)
+        self._check_size()
+        return bytes(self._body)
+
     def read_json(self, structure):
         """Returns the body as ``structure``; raises ProblemError for any fault."""
-        self._check_type()
-        self._check_size()
-        body = bytes(self._body)
+        body = self.read_body(JSON_TYPE)
         try:
             value = msgspec.json.decode(body, type=structure)
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
@@ -128,11 +141,11 @@
     def _leave(self, written=None):
         self.settings["in_progress"].discard(self)
 
-    def _check_type(self):
+    def _check_type(self, expected):
         header = self.request.headers.get("Content-Type", "")
         given = header.partition(";")[0].strip().lower()
-        if given != JSON_TYPE:
-            detail = f"the content type is '{given}' and must be {JSON_TYPE}"
+        if given != expected:
+            detail = f"the content type is '{given}' and must be {expected}"
             raise ProblemError(Reason.WRONG_TYPE, detail, place="Content-Type")
 
     def _check_size(self):
@@ -189,13 +202,21 @@
     ]
 
 
-def build_application(routes, max_body_bytes):
-    """Returns an application whose every error is a problem."""
+def count_nothing(reason):
+    """Stands in for ``count_refusal`` where refusals are not counted."""
+
+
+def build_application(routes, max_body_bytes, count_refusal=count_nothing):
+    """Returns an application whose every error is a problem.
+
+    ``count_refusal(reason)`` is called for each request that is refused here.
+    """
     return Application(
         routes,
         default_handler_class=NotFoundHandler,
         log_function=_log_nothing,
         max_body_bytes=max_body_bytes,
+        count_refusal=count_refusal,
         in_progress=set(),
     )
 
@@ -242,24 +263,10 @@
 
 
 def _check_nesting(body):
-    """Refuses what would be too deep once it's wrapped in a message."""
-    if sum(body.count(opener) for opener in OPENERS) <= MAX_NESTING:
-        return
-    level = [msgspec.json.decode(body)]
-    for _ in range(MAX_NESTING):
-        level = [child for value in level for child in _children(value)]
-        if not level:
-            return
-    raise _too_deep()
-
-
-def _children(value):
-    match value:
-        case dict():
-            return list(value.values())
-        case list():
-            return value
-    return ()
+    """Looks into those bodies that have enough brackets to be too deep."""
+    brackets = sum(body.count(opener) for opener in OPENERS)
+    if brackets > MAX_NESTING and is_too_deep(body):
+        raise _too_deep()
 
 
 def _too_deep():
--- a/packages/daemon/banyanwheel_daemon/web.py
+++ b/packages/daemon/banyanwheel_daemon/web.py
@@ -13,7 +13,6 @@
 from tornado.netutil import bind_sockets
 
 from banyanwheel_core.errors import InvalidIdError, ListenError
-from banyanwheel_core.findings import Finding
 from banyanwheel_core.ids import JobId
 from banyanwheel_core.models import (
     DEFAULT_DEADLINE_MS,
@@ -22,9 +21,10 @@
     JobState,
     Reason,
 )
+from banyanwheel_core.submissions import findings_of
 
 from . import problems
-from .handlers import BodyHandler, build_application, probe_routes
+from .handlers import BodyHandler, build_application, count_nothing, probe_routes
 from .problems import ProblemError
 
 __all__ = ["JobDesk", "WebServer", "fingerprint_of", "make_application"]
@@ -110,9 +110,9 @@
 
     def _read_spec(self):
         spec = self.read_json(JobSpec)
-        if spec.idempotent and len(spec.tasks) > 1:
-            message = "only a job of one task can be idempotent"
-            raise ProblemError.from_findings([Finding("idempotent", message)])
+        findings = findings_of(spec)
+        if findings:
+            raise ProblemError.from_findings(findings)
         return spec
 
 
@@ -198,10 +198,15 @@
     desk: JobDesk,
     render_metrics: Callable[[], bytes],
     *,
+    count_refusal: Callable[[Reason], None] = count_nothing,
     max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
     routes=(),
 ):
-    """Returns the tornado application for callers; ``routes`` are added to its own."""
+    """Returns the tornado application for callers; ``routes`` are added to its own.
+
+    ``count_refusal`` is called for each request that this side refuses by itself;
+    the entry counts what it answers with a refusal.
+    """
     options = {"desk": desk}
     own = [
         (r"/v1/job-ids", _IdsHandler, options),
@@ -209,7 +214,7 @@
         (r"/v1/jobs/([^/]+)", _JobHandler, options),
         *probe_routes(lambda: desk.ready, render_metrics),
     ]
-    return build_application([*own, *routes], max_body_bytes)
+    return build_application([*own, *routes], max_body_bytes, count_refusal)
 
 
 def _check_id(job_id):
