Refuse jobs that can't end in time before they start, and report headroom as taken

Admission now counts the run time with a margin, and the head of a queue is given up once less than half its usual run time is left.

--- a/packages/core/banyanwheel_core/coordinator.py
+++ b/packages/core/banyanwheel_core/coordinator.py
@@ -41,6 +41,8 @@
 QUEUE_RETRY_MS = 1_000
 OVERDUE_FACTOR = 2.0  # of the expected run time, until a result is missed
 MAX_OVERDUE_SECONDS = 1.0
+DEADLINE_MARGIN = 1.2  # on the expected time to a result, at admission
+LEAST_RUN_SHARE = 0.5  # of the usual run time, left before a job is given up
 MAX_DETAIL = 500  # characters of a failed task's own answer
 
 
@@ -52,7 +54,7 @@
     block_lifetime: float = 120.0
     max_blocks: int = 2_000
     max_jobs: int = 50_000
-    max_answer_bytes: int = 64 * 2**20
+    max_answer_bytes: int = 16 * 2**20
     max_attempts: int = 3
     partners: int = 32
     lost_worker_patience: float = 2.0
@@ -86,6 +88,7 @@
             retention=retention,
             block_lifetime=retention / 2,
             max_jobs=settings.max_jobs,
+            max_answer_bytes=settings.max_answer_bytes,
         )
         return cls(identity, members, placement, limits)
 
@@ -261,9 +264,10 @@
         if queue.waiting >= self._policy.flow(spec.flow).max_queue:
             detail = f"{queue.waiting} tasks of this kind wait here already"
             return Reason.QUEUE_FULL, detail, max(wait_ms, 1)
-        if wait_ms > message.remaining_ms:
+        needed_ms = wait_ms + self._placement.fleet_run_ms(spec.flow)
+        if queue.waiting and needed_ms * DEADLINE_MARGIN > message.remaining_ms:
             detail = f"a task waits about {wait_ms} ms now"
-            return Reason.DEADLINE_INFEASIBLE, detail, wait_ms
+            return Reason.DEADLINE_INFEASIBLE, detail, max(wait_ms, 1)
         return None
 
     def _refuse(self, sender, message, reason, detail, retry_after_ms):
@@ -311,6 +315,7 @@
             return [Send(sender, StartTasks(message.grant, ()))]
         queue = self._dispatcher.queue(message.flow)
         member = self._members.find(sender.name)
+        late = self._fail_late(queue, now)
         starts = self._pick(queue, member, message.slots, now)
         keys = {(start.job_id, start.index) for start in starts}
         effects = [Send(sender, StartTasks(message.grant, tuple(starts)))]
@@ -322,7 +327,19 @@
             self._placement.started(sender.name, len(keys))
         else:
             effects.append(Count("grants_unused", Reason.GRANT_LAPSED))
-        return effects + self._dispatcher.place(message.flow, now)
+        return effects + late + self._dispatcher.place(message.flow, now)
+
+    def _fail_late(self, queue, now):
+        """Answers "not run" for jobs at the head that can't end in time any more."""
+        least = LEAST_RUN_SHARE * self._placement.fleet_run_ms(queue.flow) / 1_000
+        effects = []
+        for job_id, _ in queue.heads(self._is_waiting):
+            job = self._jobs.get(job_id)
+            if job is None or job.state != "waiting" or job.deadline_at - now >= least:
+                continue
+            detail = "it waited so long that it can't be done by its deadline"
+            effects += self._fail(job, Reason.DEADLINE_INFEASIBLE, detail, now)
+        return effects
 
     def _overdue_after(self, flow):
         run_seconds = self._placement.fleet_run_ms(flow) / 1_000
--- a/packages/core/banyanwheel_core/executor.py
+++ b/packages/core/banyanwheel_core/executor.py
@@ -153,7 +153,9 @@
     @property
     def load(self):
         """The load to send along with messages."""
-        free = self.free_slots if self.serving else 0
+        # Free slots beside waiting work are headroom, which that work may not use.
+        waits = any(demand.open for demand in self._demands.values())
+        free = self.free_slots if self.serving and not waits else 0
         return Load(free, int(self._queued_ms()), round(self.pace, 3))
 
     @property
--- a/packages/core/banyanwheel_core/reservations.py
+++ b/packages/core/banyanwheel_core/reservations.py
@@ -94,6 +94,16 @@
                     return key
         return None
 
+    def heads(self, is_waiting):
+        """Returns the next task of each set of needs."""
+        keys = []
+        for line in self._lines.values():
+            while line and not is_waiting(line[0]):
+                line.popleft()
+            if line:
+                keys.append(line[0])
+        return keys
+
     def started(self, count, now):
         """Notes starts, from which the wait of later tasks is estimated."""
         if self._last_start is not None and self.waiting:
--- a/packages/daemon/banyanwheel_daemon/settings.py
+++ b/packages/daemon/banyanwheel_daemon/settings.py
@@ -121,6 +121,7 @@
     grace_ms: Milliseconds = 30_000
     max_jobs: Size = 10_000
     max_tasks: Size = 50_000
+    max_answer_bytes: Size = 16 * 1024 * 1024
 
     def __post_init__(self):
         """Makes ``advertise`` a plain text: the codec takes no subclass of it."""
--- a/tests/core/test_coordinator.py
+++ b/tests/core/test_coordinator.py
@@ -163,3 +163,32 @@
     world.deliver((ENTRY, world.me, QueryJob(job_id)))
     world.deliver_all()
     assert world.answers[0].outcome is None
+
+
+def test_a_job_too_late_to_end_in_time_is_refused_before_it_starts():
+    world = World(executors=1, slots=1)
+    world.submit(spec())
+    world.deliver_all()
+    late = world.submit(spec(deadline_ms=100))
+    world.deliver_all()
+    world.advance(0.08)
+    world.finish_all()
+    (answer,) = [answer for answer in world.answers if answer.id == late]
+    assert (answer.outcome, answer.reason) == (
+        Outcome.NOT_RUN,
+        Reason.DEADLINE_INFEASIBLE,
+    )
+    assert late not in {job_id for job_id, _ in world.starts}
+
+
+def test_an_answer_goes_on_to_the_successor_of_a_successor():
+    first, second, third = World(), World(), World()
+    job_id = first.submit(spec())
+    first.finish_all()
+    for message in first.coordinator.handover(first.now):
+        second.coordinator.handle(first.me, message, second.now)
+    for message in second.coordinator.handover(second.now):
+        third.coordinator.handle(second.me, message, third.now)
+    third.submit(spec(), job_id)
+    third.deliver_all()
+    assert third.answers == first.answers
