Hand answers to a peer that stays, not to one that is stopping

Cause, found by reading: two agents that leave at once could choose each other, and both lost their kept answers. A stopping coordinator takes nothing over, and the leaver turns to another peer.

--- a/packages/core/banyanwheel_core/coordinator.py
+++ b/packages/core/banyanwheel_core/coordinator.py
@@ -575,6 +575,8 @@
         return self._answers.parts(self._identity, self._blocks.valid(now))
 
     def _take_over(self, sender, message, now):
+        if self._stopping:
+            return []
         owner = Peer(message.name, message.incarnation)
         if not self._answers.inherit(owner, message, now):
             return []
--- a/packages/daemon/banyanwheel_daemon/agent.py
+++ b/packages/daemon/banyanwheel_daemon/agent.py
@@ -37,7 +37,8 @@
 __all__ = ["Agent", "run"]
 
 LEASE_MS = 2_000
-HANDOVER_TRIES = 10
+HANDOVER_TRIES = 5  # peers that are asked, one after the other
+OFFERS = 3  # of the answers to one peer
 HANDOVER_PAUSE_SECONDS = 0.3
 TICK_SECONDS = 0.02
 
@@ -300,24 +301,36 @@
         return self._executor.idle and self._coordinator.idle
 
     async def _hand_over(self):
-        successor = self._choose_successor()
-        if successor is None:
-            return
-        peer = Peer(successor.name, successor.incarnation)
+        """Hands the kept answers to a peer; another one if it does not take them."""
+        tried = set()
         for _ in range(HANDOVER_TRIES):
-            messages = self._coordinator.handover(time.monotonic())
-            self.perform([Send(peer, message) for message in messages])
-            await asyncio.sleep(HANDOVER_PAUSE_SECONDS)
-            if {message.incarnation for message in messages} <= self._taken:
+            successor = self._choose_successor(tried)
+            if successor is None:
+                return
+            tried.add(successor.name)
+            if await self._offer(Peer(successor.name, successor.incarnation)):
                 self._successor = f"{successor.name}.{successor.incarnation}"
                 await self._append_record(self._record())
                 return
 
-    def _choose_successor(self):
+    async def _offer(self, peer):
+        """Sends every answer to a peer; tells whether it has taken them all."""
+        messages = self._coordinator.handover(time.monotonic())
+        owners = {message.incarnation for message in messages}
+        self._taken.clear()
+        for _ in range(OFFERS):
+            self.perform([Send(peer, message) for message in messages])
+            await asyncio.sleep(HANDOVER_PAUSE_SECONDS)
+            if owners <= self._taken:
+                return True
+        return False
+
+    def _choose_successor(self, tried):
         others = [
             member
             for member in self._members.members
             if member.name != self._identity.name
+            and member.name not in tried
             and not member.leaving
             and self._members.usable(member.name, time.monotonic())
         ]
--- a/tests/core/test_coordinator.py
+++ b/tests/core/test_coordinator.py
@@ -192,3 +192,12 @@
     third.submit(spec(), job_id)
     third.deliver_all()
     assert third.answers == first.answers
+
+
+def test_a_coordinator_that_stops_takes_no_answers_over():
+    leaver, other = World(), World()
+    leaver.submit(spec())
+    leaver.finish_all()
+    other.coordinator.stop()
+    for message in leaver.coordinator.handover(leaver.now):
+        assert other.coordinator.handle(leaver.me, message, other.now) == []
