--- a/packages/core/banyanwheel_core/coordinator.py
+++ b/packages/core/banyanwheel_core/coordinator.py
@@ -43,6 +43,7 @@
 MAX_OVERDUE_SECONDS = 1.0
 DEADLINE_MARGIN = 1.2  # on the expected time to a result, at admission
 LEAST_RUN_SHARE = 0.5  # of the usual run time, left before a job is given up
+MAX_RESULT_BYTES = 8 * 2**20  # of all tasks of a job, half of a message
 MAX_DETAIL = 500  # characters of a failed task's own answer
 
 
@@ -446,11 +447,18 @@
         job.undone -= 1
         self._placement.succeeded(sender.name, job.spec.flow, result.run_ms)
         if not job.undone:
-            return self._answer(job, job.complete(), now)
+            return self._complete(job, now)
         if job.cancelled:
             return self._settle_cancelled(job, now)
         return []
 
+    def _complete(self, job, now):
+        size = sum(len(bytes(task.body)) for task in job.tasks)
+        if size > MAX_RESULT_BYTES:
+            detail = f"the results have {size} bytes, more than one answer may have"
+            return self._fail(job, Reason.TASK_FAILED, detail, now)
+        return self._answer(job, job.complete(), now)
+
     def _task_failed(self, sender, job, task, result, now):
         task.step("failed" if result.outcome is TaskOutcome.FAILED else "unknown")
         task.sent = None
--- a/packages/core/banyanwheel_core/entry.py
+++ b/packages/core/banyanwheel_core/entry.py
@@ -4,15 +4,15 @@
 gets the same answer. Times are seconds of a monotonic clock.
 """
 
-from collections import defaultdict, deque
-from dataclasses import dataclass, field
+from collections import defaultdict
+from dataclasses import dataclass
 
-from .effects import Answered, Count, Peer, Send
+from .effects import Answered, Count, Send
 from .errors import InvalidIdError
+from .id_stock import IdStock, NoIdsError
 from .ids import JobId
 from .jobs import failed, refused
 from .messages import (
-    BlockRequest,
     CancelJob,
     IdBlock,
     JobAccepted,
@@ -26,8 +26,6 @@
 
 __all__ = ["Entry", "EntryLimits", "NoIdsError"]
 
-SAMPLES = 4  # coordinators compared for one job
-REPORT_VALID_SECONDS = 1.0  # an older report of a load counts as none
 OVERDUE_FACTOR = 2.0  # of the usual response time, until an answer is missed
 MIN_OVERDUE_SECONDS = 0.1
 MAX_OVERDUE_SECONDS = 1.0
@@ -36,42 +34,16 @@
 MOVABLE = {Reason.STOPPING, Reason.TABLE_FULL, Reason.UNKNOWN_ID, Reason.NO_WORKER}
 
 
-class NoIdsError(Exception):
-    """No coordinator has issued ids to this entry."""
-
-
 @dataclass(frozen=True, slots=True)
 class EntryLimits:
     """Bounds of an entry; times in seconds."""
 
-    block_size: int = 200
-    low_water: int = 100
-    coordinators: int = 8
     deadline_margin: float = 1.0
     lost_patience: float = 2.0
     max_pending: int = 20_000
     max_tries: int = 4
 
 
-@dataclass(slots=True)
-class _Stock:
-    """Ids of one coordinator that are not used yet."""
-
-    ids: deque = field(default_factory=deque)
-    expires_at: float = 0.0
-    requested_at: float | None = None
-
-
-@dataclass(slots=True)
-class _Report:
-    """The last load of an agent, less what was sent there since."""
-
-    free_slots: int
-    queued_ms: int
-    pace: float
-    at: float
-
-
 @dataclass(slots=True)
 class _Pending:
     """A caller's request that waits for an answer."""
@@ -95,17 +67,13 @@
     def __init__(self, identity, members, random, limits=None, data_centre=""):
         self._identity = identity
         self._members = members
-        self._random = random
         self._limits = limits or EntryLimits()
-        self._data_centre = data_centre
-        self._stocks = {}
-        self._loads = {}
+        self._stock = IdStock(identity.name, data_centre, members, random)
         self._pending = {}
         self._by_job = defaultdict(dict)
         self._timers = Timers()
         self._policy = Policy()
         self._response_seconds = {}
-        self._gone = {}
 
     @property
     def pending(self):
@@ -115,7 +83,7 @@
     @property
     def ready(self):
         """Whether ids are at hand."""
-        return any(stock.ids for stock in self._stocks.values())
+        return bool(self._stock)
 
     @property
     def next_tick(self):
@@ -129,10 +97,7 @@
             for pending in self._pending.values()
             if pending.due <= now
         }
-        requested = {
-            peer.name for peer, stock in self._stocks.items() if stock.requested_at
-        }
-        return names | requested
+        return names | self._stock.requested
 
     def configure(self, policy):
         """Puts the operators' bounds on submissions in force."""
@@ -140,13 +105,17 @@
 
     def loaded(self, name, load, now):
         """Takes in a load that an agent reported."""
-        self._loads[name] = _Report(load.free_slots, load.queued_ms, load.pace, now)
+        self._stock.loaded(name, load, now)
+
+    def fetch_ids(self, now):
+        """Asks for ids before those at hand run out."""
+        return self._stock.fetch(now)
 
     def take_ids(self, count, now):
         """Returns ids for a caller that submits later; raises NoIdsError."""
         ids = []
         while len(ids) < count:
-            ids.append(self._take_id(now))
+            ids.append(self._stock.take(now))
         return ids
 
     def submit(self, token, job_id, spec, fingerprint, now):
@@ -160,7 +129,7 @@
         short_form = job_id is None
         if short_form:
             try:
-                job_id = self._take_id(now)
+                job_id = self._stock.take(now)
             except NoIdsError:
                 return self._refuse_unsent(token, "", Reason.NO_COORDINATOR)
         deadline_at = now + spec.deadline_ms / 1_000
@@ -183,7 +152,7 @@
         """Takes a coordinator's message and returns the effects."""
         match message:
             case IdBlock():
-                return self._stock_up(sender, message, now)
+                self._stock.stock(sender, message, now)
             case JobAnswer():
                 return self._answered(message, now)
             case JobAccepted(job_id=job_id):
@@ -201,90 +170,6 @@
                     effects += self._timed_out(self._pending[token])
         return effects
 
-    # Ids.
-
-    def fetch_ids(self, now):
-        """Asks for ids before those at hand run out."""
-        self._drop_stale(now)
-        at_hand = sum(len(stock.ids) for stock in self._stocks.values())
-        effects = []
-        for member in self._choose_coordinators():
-            peer = Peer(member.name, member.incarnation)
-            stock = self._stocks.setdefault(peer, _Stock())
-            enough = len(stock.ids) >= self._limits.low_water
-            asked = stock.requested_at is not None and now - stock.requested_at < 1.0
-            if not enough and not asked and at_hand < self._cap:
-                stock.requested_at = now
-                effects.append(Send(peer, BlockRequest(self._limits.block_size)))
-        return effects
-
-    @property
-    def _cap(self):
-        return self._limits.coordinators * self._limits.block_size * 2
-
-    def _choose_coordinators(self):
-        """Members that may coordinate, those of the own data centre first."""
-        members = [
-            member
-            for member in self._members.members
-            if not member.leaving and self._gone.get(member.name) != member.incarnation
-        ]
-        near = [m for m in members if m.data_centre == self._data_centre]
-        far = [m for m in members if m.data_centre != self._data_centre]
-        wanted = self._limits.coordinators
-        return near[:wanted] + far[: max(wanted // 4, wanted - len(near))]
-
-    def _drop_stale(self, now):
-        for peer, stock in list(self._stocks.items()):
-            member = self._members.find(peer.name)
-            gone = (
-                member is None
-                or member.leaving
-                or member.incarnation != peer.incarnation
-            )
-            if gone or (stock.ids and stock.expires_at <= now):
-                del self._stocks[peer]
-
-    def _stock_up(self, sender, block, now):
-        stock = self._stocks.setdefault(sender, _Stock())
-        stock.requested_at = None
-        if not block.size:
-            return []
-        # Half of the lifetime is left to the caller that uses the id.
-        stock.expires_at = now + block.lifetime_ms / 2_000
-        stock.ids.extend(
-            str(JobId(sender, block.block, number)) for number in range(block.size)
-        )
-        return []
-
-    def _take_id(self, now):
-        """Takes an id of the least loaded in a sample of coordinators with ids."""
-        self._drop_stale(now)
-        usable = [
-            peer
-            for peer, stock in self._stocks.items()
-            if stock.ids and self._members.usable(peer.name, now)
-        ]
-        if not usable:
-            raise NoIdsError("no coordinator has issued ids to this entry")
-        sample = self._random.sample(usable, min(SAMPLES, len(usable)))
-        chosen = min(sample, key=lambda peer: self._cost(peer, now))
-        self._taken(chosen)
-        return self._stocks[chosen].ids.popleft()
-
-    def _cost(self, peer, now):
-        """Orders coordinators: free slots on a fast worker first, then the queue."""
-        report = self._loads.get(peer.name)
-        if report is None or now - report.at > REPORT_VALID_SECONDS:
-            return (False, 1.0, 0)
-        busy = report.free_slots <= 0
-        return (busy, report.queued_ms if busy else report.pace, -report.free_slots)
-
-    def _taken(self, peer):
-        report = self._loads.get(peer.name)
-        if report is not None:
-            report.free_slots -= 1
-
     # Requests.
 
     def _owner(self, job_id):
@@ -373,7 +258,7 @@
         self._close(pending)
         left_ms = int((pending.deadline_at - now) * 1_000)
         try:
-            job_id = self._take_id(now)
+            job_id = self._stock.take(now)
         except NoIdsError:
             return [Answered(pending.token, answer)]
         if left_ms <= 0:
@@ -422,9 +307,7 @@
             owner = self._owner(pending.job_id)
             if owner.name == name:
                 effects.append(Send(owner, self._repeat(pending, now)))
-        for peer, stock in self._stocks.items():
-            if peer.name == name:
-                stock.requested_at = None
+        self._stock.silent(name)
         return effects
 
     def peer_lost(self, name, now):
@@ -452,12 +335,7 @@
 
     def peer_replaced(self, name, incarnation, now):
         """Another incarnation runs under this name: the earlier one is gone."""
-        member = self._members.find(name)
-        if member is not None and member.incarnation != incarnation:
-            self._gone[name] = member.incarnation
-        for peer in [peer for peer in self._stocks if peer.name == name]:
-            if peer.incarnation != incarnation:
-                del self._stocks[peer]
+        self._stock.replaced(name, incarnation)
         effects = []
         for pending in list(self._pending.values()):
             owner = JobId.parse(pending.job_id).coordinator
--- a/packages/core/banyanwheel_core/partners.py
+++ b/packages/core/banyanwheel_core/partners.py
@@ -3,7 +3,7 @@
 from functools import lru_cache
 from hashlib import blake2b
 
-__all__ = ["choose_partners"]
+__all__ = ["choose_partners", "rank"]
 
 OTHER_DATA_CENTRES_SHARE = 4  # one in four
 OTHER_RACKS_SHARE = 4  # one in four, in the same data centre
@@ -17,7 +17,7 @@
     the sender's data centre, as far as there are any. A member that comes or goes
     changes at most one place in each of these shares.
     """
-    ranked = sorted(members, key=lambda member: _score(sender, member.name))
+    ranked = rank(sender, members)
     far = [member for member in ranked if member.data_centre != data_centre]
     near = [
         member
@@ -38,6 +38,11 @@
     return tuple(member for member in ranked if member.name in chosen)
 
 
+def rank(sender, members):
+    """Returns member records by their rendezvous score, best first."""
+    return sorted(members, key=lambda member: _score(sender, member.name))
+
+
 @lru_cache(maxsize=MAX_SCORES)
 def _score(sender, name):
     return blake2b(f"{sender}/{name}".encode(), digest_size=8).digest()
--- a/tests/core/drive.py
+++ b/tests/core/drive.py
@@ -92,9 +92,9 @@
         while not isinstance(self.wire[0][2], kind):
             self.deliver(self.wire.popleft())
 
-    def finish(self, number=0, outcome=TaskOutcome.DONE):
+    def finish(self, number=0, outcome=TaskOutcome.DONE, body=None):
         peer, task = self.running.pop(number)
-        body = msgspec.Raw(msgspec.json.encode([task.job_id, task.index]))
+        body = msgspec.Raw(body or msgspec.json.encode([task.job_id, task.index]))
         result = TaskResult(task.job_id, task.index, outcome, body, run_ms=100)
         self.perform(peer, self.executors[peer].finished(result, self.now))
 
--- a/tests/core/test_coordinator.py
+++ b/tests/core/test_coordinator.py
@@ -201,3 +201,14 @@
     other.coordinator.stop()
     for message in leaver.coordinator.handover(leaver.now):
         assert other.coordinator.handle(leaver.me, message, other.now) == []
+
+
+def test_results_too_large_for_one_answer_fail_the_job_as_ran():
+    world = World()
+    world.submit(spec(tasks=9))
+    world.deliver_all()
+    while world.running:
+        world.finish(body=b'"' + b"x" * 2**20 + b'"')
+        world.deliver_all()
+    (answer,) = world.answers
+    assert (answer.state, answer.outcome) == (JobState.FAILED, Outcome.RAN)
