Match each answer about a task to the grant that it answers

Change: answers carry the grant, starts the attempt, and the test samples its numbers so that it draws alike in every run. An idempotent request can now also be tried again at the worker that failed it. Also: admission and the following of the log's streams have modules of their own.

--- a/packages/core/banyanwheel_core/coordinator.py
+++ b/packages/core/banyanwheel_core/coordinator.py
@@ -5,6 +5,7 @@
 
 from dataclasses import dataclass
 
+from .admission import AT_ONCE_MS, RETRY_MS, Admission, Refusal
 from .answers import AnswerStore
 from .blocks import BlockTable, IdStatus
 from .budget import RetryBudget
@@ -38,10 +39,8 @@
 
 __all__ = ["Coordinator", "CoordinatorLimits"]
 
-QUEUE_RETRY_MS = 1_000
 OVERDUE_FACTOR = 2.0  # of the expected run time, until a result is missed
 MAX_OVERDUE_SECONDS = 1.0
-DEADLINE_MARGIN = 1.2  # on the expected time to a result, at admission
 LEAST_RUN_SHARE = 0.5  # of the usual run time, left before a job is given up
 MAX_RESULT_BYTES = 8 * 2**20  # of all tasks of a job, half of a message
 MAX_DETAIL = 500  # characters of a failed task's own answer
@@ -79,6 +78,7 @@
         self._timers = Timers()
         self._answers = AnswerStore(self._limits.retention, self._timers)
         self._dispatcher = Dispatcher(members, placement, self._limits, self._timers)
+        self._admission = Admission(members, self._dispatcher, placement)
         self._stopping = False
 
     @classmethod
@@ -173,9 +173,9 @@
         known = self._known_answer(sender, message, now)
         if known is not None:
             return known
-        refusal = self._admission(message)
+        refusal = self._refusal(message)
         if refusal is not None:
-            return self._refuse(sender, message, *refusal)
+            return self._refuse(sender, message, refusal)
         job = Job.from_submission(message, now)
         job.waiters.add(sender)
         self._jobs[job_id] = job
@@ -218,7 +218,7 @@
                 return None
             case IdStatus.REFUSED:
                 reason = self._blocks.refusal(parsed)
-                return refused(job_id, reason, "refused before", QUEUE_RETRY_MS)
+                return refused(job_id, reason, "refused before", RETRY_MS)
             case IdStatus.EXPIRED:
                 detail = "the id is older than the answers that are kept"
                 return failed(job_id, Reason.EXPIRED_ID, detail)
@@ -227,59 +227,31 @@
     def _answer_for_other(self, job_id, parsed):
         if self._answers.never_submitted(parsed):
             detail = "the coordinator left and had not accepted the job; take a new id"
-            return refused(job_id, Reason.STOPPING, detail, 1)
+            return refused(job_id, Reason.STOPPING, detail, AT_ONCE_MS)
         detail = "the job's coordinator is gone"
         return failed(job_id, Reason.COORDINATOR_GONE, detail)
 
-    def _admission(self, message):
-        """Returns (reason, detail, retry in ms) of a refusal, or None."""
-        spec = message.spec
+    def _refusal(self, message):
+        """Returns the Refusal of a submission, or None."""
         if self._stopping:
-            return Reason.STOPPING, "the coordinator is stopping", 1
-        fault = self._policy.fault_in(spec)
-        if fault is not None:
-            return Reason.TOO_LARGE, str(fault), 0
-        if len(self._jobs) + len(self._answers) >= self._limits.max_jobs or (
-            self._answers.size >= self._limits.max_answer_bytes
-        ):
-            return Reason.TABLE_FULL, "no room for another job", QUEUE_RETRY_MS
-        return self._admit_service(spec) or self._admit_queue(spec, message)
-
-    def _admit_service(self, spec):
-        members = [m for m in self._members.members if spec.service in m.services]
-        if not members:
-            detail = f"no backend server offers {spec.service!r}"
-            return Reason.UNKNOWN_SERVICE, detail, 0
-        if not any(fits(member, spec.needs) for member in members):
-            detail = "no worker has the memory or accelerators that the tasks need"
-            return Reason.NEVER_RUNNABLE, detail, 0
-        if not self._dispatcher.executors(spec.service):
-            if all(self._policy.drains.covers(member) for member in members):
-                return Reason.DRAINING, "every worker is drained", QUEUE_RETRY_MS
-            return Reason.NO_WORKER, "every worker is leaving", QUEUE_RETRY_MS
-        return None
-
-    def _admit_queue(self, spec, message):
-        queue = self._dispatcher.queue(spec.flow)
-        wait_ms = int(queue.expected_wait() * 1_000)
-        if queue.waiting >= self._policy.flow(spec.flow).max_queue:
-            detail = f"{queue.waiting} tasks of this kind wait here already"
-            return Reason.QUEUE_FULL, detail, max(wait_ms, 1)
-        needed_ms = wait_ms + self._placement.fleet_run_ms(spec.flow)
-        if queue.waiting and needed_ms * DEADLINE_MARGIN > message.remaining_ms:
-            detail = f"a task waits about {wait_ms} ms now"
-            return Reason.DEADLINE_INFEASIBLE, detail, max(wait_ms, 1)
-        return None
-
-    def _refuse(self, sender, message, reason, detail, retry_after_ms):
-        self._blocks.refuse(JobId.parse(message.job_id), reason)
-        answer = refused(message.job_id, reason, detail, retry_after_ms)
+            return Refusal(Reason.STOPPING, "the coordinator is stopping", AT_ONCE_MS)
+        held = len(self._jobs) + len(self._answers)
+        full = self._answers.size >= self._limits.max_answer_bytes
+        if full or held >= self._limits.max_jobs:
+            return Refusal(Reason.TABLE_FULL, "no room for another job", RETRY_MS)
+        return self._admission.check(message, self._policy)
+
+    def _refuse(self, sender, message, refusal):
+        self._blocks.refuse(JobId.parse(message.job_id), refusal.reason)
+        answer = refused(
+            message.job_id, refusal.reason, refusal.detail, refusal.retry_after_ms
+        )
         return self._tell(sender, answer, message.fingerprint)
 
     def _tell(self, sender, answer, fingerprint=""):
         return [
             Send(sender, JobAnswer(answer, fingerprint)),
-            _refusal(answer.reason),
+            Count("refusals", answer.reason),
         ]
 
     def _query(self, sender, job_id, now):
@@ -360,6 +332,7 @@
                     job.payloads[index],
                     job.spec.tasks[index].declared_ms,
                     max(1, int((job.deadline_at - now) * 1_000)),
+                    len(job.tasks[index].earlier),
                 )
             )
         return starts
@@ -418,7 +391,7 @@
         if job is None or result.outcome is TaskOutcome.RUNNING:
             return []
         task = job.tasks[result.index]
-        if task.sent is None or task.sent[0] != sender:
+        if task.sent != (sender, result.grant):
             return []
         self._sent.remove(task.sent, (result.job_id, result.index))
         if result.outcome is TaskOutcome.NOT_STARTED:
@@ -641,7 +614,3 @@
                 "workers": ",".join(sorted(set(answer.workers))),
             }
         ]
-
-
-def _refusal(reason):
-    return Count("refusals", reason)
--- a/packages/core/banyanwheel_core/executor.py
+++ b/packages/core/banyanwheel_core/executor.py
@@ -77,6 +77,7 @@
     owner: Peer
     flow: FlowKey
     grant: int
+    attempt: int
     outcome: TaskOutcome = TaskOutcome.RUNNING
     result: TaskResult | None = None
     aborted: bool = field(default=False)
@@ -217,6 +218,7 @@
         """Takes the result of an :class:`Execute` effect."""
         key = (result.job_id, result.index)
         record = self._tasks[key]
+        result = msgspec.structs.replace(result, grant=record.grant)
         record.outcome = result.outcome
         record.result = result
         self._running -= 1
@@ -456,10 +458,13 @@
         for task in message.tasks[: record.slots]:
             key = (task.job_id, task.index)
             known = self._tasks.get(key)
-            if known is not None and known.outcome is not TaskOutcome.NOT_STARTED:
-                effects += self._report(sender, known.grant, [key])
+            if known is not None and not _may_start(known, task):
+                known.grant = message.grant
+                effects += self._report(sender, message.grant, [key])
                 continue
-            self._tasks[key] = _TaskRecord(sender, record.flow, message.grant)
+            self._tasks[key] = _TaskRecord(
+                sender, record.flow, message.grant, task.attempt
+            )
             self._timers.cancel(("task", key))
             self._jobs[task.job_id].add(key)
             started += 1
@@ -475,6 +480,7 @@
                 task.index,
                 TaskOutcome.UNKNOWN,
                 reason=Reason.GRANT_FORGOTTEN,
+                grant=message.grant,
             )
             for task in message.tasks
         )
@@ -502,16 +508,14 @@
     def _state_of(self, sender, grant, key):
         job_id, index = key
         task = self._tasks.get(key)
-        if task is not None and task.owner == sender:
-            return task.result or TaskResult(job_id, index, TaskOutcome.RUNNING)
+        if task is not None and task.owner == sender and task.grant == grant:
+            result = task.result or TaskResult(job_id, index, TaskOutcome.RUNNING)
+            return msgspec.structs.replace(result, grant=grant)
         record = self._grants.get(grant)
+        outcome, reason = TaskOutcome.UNKNOWN, Reason.GRANT_FORGOTTEN
         if record is not None and record.owner == sender and record.state != "used":
-            return TaskResult(
-                job_id, index, TaskOutcome.NOT_STARTED, reason=record.refusal
-            )
-        return TaskResult(
-            job_id, index, TaskOutcome.UNKNOWN, reason=Reason.GRANT_FORGOTTEN
-        )
+            outcome, reason = TaskOutcome.NOT_STARTED, record.refusal
+        return TaskResult(job_id, index, outcome, reason=reason, grant=grant)
 
     def _cancel(self, sender, job_id):
         effects = []
@@ -568,3 +572,11 @@
         if self._fair.occupied_by(flow.subsidiary) >= self._quota_slots(flow):
             return "the subsidiary holds its quota of slots"
         return "the flow leaves the headroom slots free for others"
+
+
+def _may_start(known, task):
+    """Tells whether a task that is known here may be started again."""
+    if known.outcome is TaskOutcome.NOT_STARTED:
+        return True
+    finished = known.outcome is not TaskOutcome.RUNNING
+    return finished and task.attempt > known.attempt
--- a/packages/core/banyanwheel_core/messages.py
+++ b/packages/core/banyanwheel_core/messages.py
@@ -177,13 +177,18 @@
 
 
 class TaskStart(msgspec.Struct, frozen=True, array_like=True):
-    """One task to start under a grant."""
+    """One task to start under a grant.
+
+    ``attempt`` counts the earlier starts of an idempotent request; a task whose
+    attempt is known already is not started again.
+    """
 
     job_id: str
     index: int
     task: msgspec.Raw
     declared_ms: int
     remaining_ms: int
+    attempt: int = 0
 
 
 class StartTasks(_Message):
@@ -201,7 +206,11 @@
 
 
 class TaskResult(msgspec.Struct, frozen=True, array_like=True):
-    """What became of one task; ``body`` is the backend server's JSON answer."""
+    """What became of one task; ``body`` is the backend server's JSON answer.
+
+    ``grant`` names the start that is answered: a late copy of an earlier answer must
+    not be taken for that of a later start at the same executor.
+    """
 
     job_id: str
     index: int
@@ -209,6 +218,7 @@
     body: msgspec.Raw = msgspec.Raw(b"null")
     reason: Reason | None = None
     run_ms: int = 0
+    grant: int = -1
 
 
 class TaskResults(_Message):
--- a/packages/daemon/banyanwheel_daemon/node.py
+++ b/packages/daemon/banyanwheel_daemon/node.py
@@ -12,7 +12,6 @@
 from functools import partial
 from random import Random
 
-import msgspec
 from eliot import log_message
 from tornado.ioloop import PeriodicCallback
 
@@ -31,7 +30,6 @@
     InspectReply,
     JobAccepted,
     JobAnswer,
-    MemberRecord,
     MembersReply,
     MembersRequest,
     Misaddressed,
@@ -44,9 +42,10 @@
 )
 from banyanwheel_core.policy import Policy
 
-from .log_service import Follower, LogService
+from .log_service import LogService
 from .logs import JsonLines
 from .metrics import Metrics
+from .streams import Streams
 from .transport import Transport
 
 __all__ = ["Node", "serve"]
@@ -98,11 +97,9 @@
         self._configuration = Configuration(
             retention_s=log_settings.retention_ms / 1_000, random=self._random
         )
-        self._members_follower = self._follower(
-            log_settings.members_stream, spacing=lambda: self._members.read_spacing_s
+        self._streams = Streams(
+            self._log, log_settings, self._members, self._configuration, self._random
         )
-        self._versions_follower = self._follower(log_settings.configuration_stream)
-        self._streams_read = set()
         self._effects = deque()
         self._performing = False
         self._known_incarnations = {}
@@ -158,24 +155,10 @@
 
     def start(self):
         """Begins to follow the streams and to tick."""
-        self.spawn(
-            self._members_follower.follow(self._on_members_page, self._on_members_lost)
-        )
-        self.spawn(
-            self._versions_follower.follow(self._on_versions_page, self._on_log_lost)
-        )
+        self.spawn(self._streams.follow(self._check_members, self._versions_read))
         self.spawn(self._ask_entries())
         self._ticker.start()
 
-    def _follower(self, stream, **options):
-        return Follower(
-            self._log,
-            stream,
-            poll_ms=self._settings.log_service.poll_ms,
-            random=self._random,
-            **options,
-        )
-
     def spawn(self, coroutine):
         """Runs a coroutine beside the rest; a fault in it is logged."""
         task = asyncio.ensure_future(coroutine)
@@ -317,7 +300,7 @@
                 return [Send(sender, self._members.reply(now))]
             case MembersReply(members=members):
                 self._members.merge(members, now)
-                self._check_members(now)
+                self._check_members()
                 return []
             case ConfigurationRequest():
                 reply = self._configuration.reply()
@@ -408,33 +391,9 @@
 
     # Membership.
 
-    def _on_members_page(self, page):
-        now = time.monotonic()
-        self._streams_read.add("members")
-        self._members.log_seen(now)
-        for record in page.records:
-            self._apply_member(record, now)
-        self._members.tick(now)
-        self._check_members(now)
-
-    def _apply_member(self, record, now):
-        try:
-            member = msgspec.json.decode(record.data, type=MemberRecord)
-        except msgspec.MsgspecError as error:
-            log_message("members:malformed", offset=record.offset, fault=str(error))
-            return
-        self._members.apply(member, record.offset, record.age_ms, now)
-
-    def _on_members_lost(self, error):
-        self._members.log_lost(time.monotonic())
-        log_message("members:unreadable", fault=str(error))
-
-    def _on_log_lost(self, error):
-        log_message("log:unreadable", fault=str(error))
-
     async def _ask_entries(self):
         """Learns from the entries what the log can't tell during an outage."""
-        while len(self._streams_read) < 2:
+        while not self._streams.read:
             for address in self._settings.peers.entries:
                 for message in (MembersRequest(), ConfigurationRequest()):
                     self._transport.send(
@@ -444,9 +403,8 @@
 
     # Configuration.
 
-    def _on_versions_page(self, page):
-        self._streams_read.add("configuration")
-        if self._configuration.apply_page(page, time.monotonic()):
+    def _versions_read(self, changed):
+        if changed:
             self._configured()
         self.on_versions_read()
 
@@ -457,7 +415,7 @@
             log_message("configuration:invalid", offset=offset, fault=str(error))
             return
         if adopted:
-            self._versions_follower.rewind(self._configuration.position)
+            self._streams.rewind()
             self._configured()
 
     def _configured(self):
@@ -470,8 +428,9 @@
     def on_configured(self, policy):
         """Is called when another configuration is in force."""
 
-    def _check_members(self, now):
+    def _check_members(self):
         """Tells the decisions which peers have been replaced."""
+        now = time.monotonic()
         for member in self._members.members:
             before = self._known_incarnations.get(member.name)
             self._known_incarnations[member.name] = member.incarnation
--- a/tests/core/test_coordinator.py
+++ b/tests/core/test_coordinator.py
@@ -1,4 +1,4 @@
-from banyanwheel_core.messages import CancelJob, QueryJob, StartTasks
+from banyanwheel_core.messages import CancelJob, QueryJob, StartTasks, TaskResults
 from banyanwheel_core.models import JobState, Outcome, Reason, TaskOutcome
 from tests.core.drive import ENTRY, World, spec
 
@@ -212,3 +212,29 @@
         world.deliver_all()
     (answer,) = world.answers
     assert (answer.state, answer.outcome) == (JobState.FAILED, Outcome.RAN)
+
+
+def test_a_late_copy_of_an_answer_to_an_earlier_start_starts_nothing():
+    world = World(executors=1, slots=1)
+    world.submit(spec())
+    world.deliver_all()
+    world.finish(outcome=TaskOutcome.NOT_STARTED)
+    world.starts.clear()
+    (not_started,) = [x for x in world.wire if isinstance(x[2], TaskResults)]
+    world.deliver_all()
+    world.add_executor("x1")
+    world.members.suspect("x0", world.now)
+    world.deliver(not_started)
+    world.finish_all()
+    assert len(world.starts) == 1
+    assert world.answers[0].state == JobState.COMPLETE
+
+
+def test_an_idempotent_request_can_be_tried_again_at_the_only_worker():
+    world = World(executors=1)
+    world.submit(spec(idempotent=True))
+    world.deliver_all()
+    world.finish(outcome=TaskOutcome.FAILED)
+    world.finish_all()
+    assert world.answers[0].state == JobState.COMPLETE
+    assert len(world.starts) == 2
--- a/tests/core/test_state_machine.py
+++ b/tests/core/test_state_machine.py
@@ -17,7 +17,9 @@
 from banyanwheel_core.models import Answer, JobState, Outcome, Reason, TaskOutcome
 from tests.core.drive import ENTRY, World, spec
 
-NUMBERS = st.integers(min_value=0, max_value=1_000)
+# Sampled, since Hypothesis draws integers near constants of the modules loaded, and
+# these differ between a run of this test alone and one of the whole suite.
+NUMBERS = st.sampled_from(range(1_001))
 OUTCOMES = st.sampled_from(
     [
         TaskOutcome.DONE,
