--- a/packages/core/banyanwheel_core/executor.py
+++ b/packages/core/banyanwheel_core/executor.py
@@ -6,7 +6,7 @@
 
 import hashlib
 from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import msgspec
 
@@ -80,7 +80,7 @@
     attempt: int
     outcome: TaskOutcome = TaskOutcome.RUNNING
     result: TaskResult | None = None
-    aborted: bool = field(default=False)
+    aborted: bool = False
 
 
 class Executor:
