Race versions that differ from the one in force

When the winner said the same as the version in force, the publisher took it, as designed and tested, for a repetition of the base and accepted the other operator's version on top: both got 200, nothing was lost or reverted.

--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -178,7 +178,8 @@
 @when("two operators publish different versions made from it at once")
 def publish_at_once(world):
     base = world.accepted
-    weights = {"entry-1": 2.0, "entry-2": 3.0}
+    # Both differ from the version in force: one that only repeats it is no conflict.
+    weights = {"entry-1": 5.0 + 2 * base, "entry-2": 6.0 + 2 * base}
     answers = [
         in_thread(world.cluster.publish, entry, weight_of_stock(weight), base)
         for entry, weight in weights.items()
