--- a/packages/core/banyanwheel_core/coordinator.py
+++ b/packages/core/banyanwheel_core/coordinator.py
@@ -98,11 +98,6 @@
         """Whether every job is answered."""
         return not self._jobs
 
-    @property
-    def open_jobs(self):
-        """Jobs not answered yet."""
-        return len(self._jobs)
-
     @property
     def next_tick(self):
         """When :meth:`tick` is wanted next, or None."""
--- a/packages/daemon/banyanwheel_daemon/node.py
+++ b/packages/daemon/banyanwheel_daemon/node.py
@@ -242,13 +242,7 @@
         if peer == self._identity:
             self.perform(self._decide(peer, message, time.monotonic()))
             return
-        self._transport.send(
-            peer,
-            self._address_for(peer, message),
-            message,
-            configuration=self._configuration.advertised,
-            load=self.load,
-        )
+        self.send_to(peer, self._address_for(peer, message), message)
 
     def send_to(self, peer, address, message):
         """Sends a message to an address, whether or not the peer is a known member."""
