Run on the users' platform: dispatchers, runners and an adapter that translates

Cause: nothing ran there. The deployments send jobs that need not be stored (every kind of request on both sites carries that mark), so a dispatcher runs such a job from memory and answers its caller at the end; other jobs are stored on the log before they are accepted.

No test covers it yet.

--- a/Makefile
+++ b/Makefile
@@ -2,13 +2,14 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 KNOWN_RED = $(addprefix --known-red=,$(wildcard KNOWN-RED.txt))
-PACKAGES = -e packages/core -e packages/daemon -e packages/client
+PACKAGES = -e packages/core -e packages/jobs -e platform -e packages/daemon \
+	-e packages/client
 
 .PHONY: setup test lint format demo clean
 
 setup: $(VENV)/.installed
 
-$(VENV)/.installed: constraints.txt requirements-dev.txt packages/*/pyproject.toml
+$(VENV)/.installed: constraints.txt requirements-dev.txt packages/*/pyproject.toml platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --constraint constraints.txt \
 		$(PACKAGES) --requirement requirements-dev.txt
--- a/packages/daemon/banyanwheel_daemon/cli/app.py
+++ b/packages/daemon/banyanwheel_daemon/cli/app.py
@@ -68,6 +68,35 @@
     return role.run(AgentSettings.from_file(settings), context.obj)
 
 
+JobSettingsFile = Annotated[
+    Path,
+    typer.Option(
+        "--settings",
+        metavar="FILE",
+        envvar="BANYANWHEEL_SETTINGS",
+        help="Settings in TOML.",
+    ),
+]
+
+
+@app.command()
+def dispatcher(context: typer.Context, settings: JobSettingsFile):
+    """Takes jobs from callers, stores them on the log and has them run."""
+    from .. import dispatcher as role
+    from ..job_settings import DispatcherSettings
+
+    return role.run(DispatcherSettings.from_file(settings), context.obj)
+
+
+@app.command()
+def runner(context: typer.Context, settings: JobSettingsFile):
+    """Runs beside a worker and is the only door to it."""
+    from .. import runner as role
+    from ..job_settings import RunnerSettings
+
+    return role.run(RunnerSettings.from_file(settings), context.obj)
+
+
 @app.command()
 def check(
     context: typer.Context,
--- /dev/null
+++ b/packages/daemon/banyanwheel_daemon/dispatcher.py
@@ -0,0 +1,234 @@
+"""The role ``dispatcher``: callers' requests, and the ownership of jobs."""
+
+import asyncio
+
+from banyanwheel_jobs.messages import (
+    Answer,
+    Ask,
+    Claims,
+    Contact,
+    Misaddressed,
+    Report,
+)
+from banyanwheel_jobs.owner import Owner
+from banyanwheel_jobs.placement import Placement
+from banyanwheel_jobs.runners import RunnerView
+from banyanwheel_platform.callers import CallerServer
+from banyanwheel_platform.configuration import (
+    CONFIGURATION_KEY,
+    OPERATOR_TOPIC,
+    decode_configuration,
+)
+from banyanwheel_platform.log import LogClient
+
+from .caller_desk import CallerDesk
+from .clocks import boot_time, wall_ms
+from .configuration_feed import ConfigurationFeed
+from .members import Member, Members
+from .ownership import Ownership
+from .peers import Peers
+from .role import DISPATCHER, RUNNER, Role
+
+__all__ = ["Dispatcher", "run"]
+
+TICK_S = 0.05
+CONTACT_S = 0.2  # several within the authority that a runner has by them
+REOPEN_AFTER_S = 1.0  # four heartbeats without an answer
+DRAIN_S = 2.5  # the balancer takes two misses, a second apart, to look elsewhere
+STOP_MARGIN_S = 1.0  # before the platform kills the process
+
+
+class Dispatcher(Role):
+    """One process of the role."""
+
+    def __init__(self, settings, env):
+        super().__init__(settings, env, DISPATCHER)
+        self._clocks = (boot_time, wall_ms)
+        self._log = LogClient(settings.log.address)
+        self._dispatch_due = False
+        jobs = settings.jobs
+        self._owner = Owner(
+            settings.log.partitions,
+            Placement(settings.process.data_centre, jobs.remote_rack_factor),
+            retention_s=jobs.retention_s,
+            wall_ms=wall_ms,
+            send=self._send_to_runner,
+            store=self._store,
+            note=self.note,
+        )
+        self._views = self._owner.views
+        self._members = Members(self._log, self.note)
+        self._ownership = Ownership(
+            self._log,
+            self._owner,
+            settings.process.name,
+            self._clocks,
+            self.note,
+            trusts=lambda: [view.trust for view in self._views.values()],
+            on_change=self._partitions_changed,
+            refresh=self._refresh_members,
+        )
+        self._desk = CallerDesk(
+            self._owner,
+            settings.log.partitions,
+            self._clocks,
+            self.note,
+            send=self._send_to_dispatcher,
+            ownership=self._ownership,
+        )
+        self._feed = ConfigurationFeed(
+            self._log,
+            OPERATOR_TOPIC,
+            CONFIGURATION_KEY,
+            decode_configuration,
+            self._configure,
+            self.note,
+        )
+        self._callers = CallerServer(self._desk, self.note)
+        self._peers = None
+
+    # Start and end
+
+    async def serve(self):
+        """Runs until asked to stop."""
+        process = self.settings.process
+        self._peers = Peers(process.address, self._receive, boot_time)
+        self._callers.listen(self.settings.callers.listen)
+        self.listen_ready(self.settings.callers.ready, self._is_ready)
+        member = Member(DISPATCHER, process.data_centre)
+        self.spawn(self._members.register(str(process.address), member))
+        self.spawn(self._members.follow(self._members_changed))
+        self.spawn(self._feed.run())
+        self.spawn(self._ownership.run())
+        self.spawn(self.every(TICK_S, self._tick))
+        self.spawn(self.every(CONTACT_S, self._contact))
+        await self.stop_asked()
+        await self._stop()
+
+    async def _stop(self):
+        started = boot_time()
+        deadline = started + self.settings.process.grace_s - STOP_MARGIN_S
+        await self._ownership.leave()
+        self._contact()
+        await self._members.remove(str(self.settings.process.address))
+        while boot_time() < deadline and (
+            self._desk.open_requests or boot_time() - started < DRAIN_S
+        ):
+            await asyncio.sleep(TICK_S)
+        self._callers.stop()
+        await self._callers.close()
+        self._peers.close(linger_ms=100)
+
+    def _is_ready(self):
+        return self._desk.routing is not None and not self.stopping
+
+    def _configure(self, routing):
+        self._desk.routing = routing
+
+    # Members
+
+    async def _refresh_members(self):
+        await self._members.refresh()
+        self._members_changed()
+
+    def _members_changed(self):
+        runners = {
+            address: member
+            for address, member in self._members.known.items()
+            if member.role == RUNNER
+        }
+        for address, member in runners.items():
+            if address not in self._views:
+                self._views[address] = RunnerView(address, member.data_centre)
+                self.note("runner:known", runner=address)
+        for address in set(self._views) - set(runners):
+            if not self._has_runs(address):
+                del self._views[address]
+                self.note("runner:gone", runner=address)
+
+    def _has_runs(self, address):
+        return any(
+            task.runner == address
+            for partition in self._owner.partitions.values()
+            for job in partition.jobs.values()
+            for task in job.placed()
+        )
+
+    # Messages
+
+    def _send_to_runner(self, address, message):
+        view = self._views.get(address)
+        self._peers.send(address, message, view.incarnation if view else "")
+
+    def _send_to_dispatcher(self, address, message):
+        self._peers.send(address, message)
+
+    def _receive(self, address, incarnation, message):
+        match message:
+            case Report():
+                view = self._views.get(address)
+                if view is not None:
+                    self._take_report(view, incarnation, message)
+            case Ask():
+                self._desk.take_ask(address, message)
+            case Answer():
+                self._desk.take_answer(message)
+            case Claims():
+                self._desk.take_claims(address, message)
+            case Misaddressed():
+                self.note.count("banyanwheel.retries", "misaddressed")
+
+    def _take_report(self, view, incarnation, report):
+        now = boot_time()
+        if view.incarnation not in ("", incarnation):
+            view.trust.forget()
+        view.trust.receive(report.stamp, now)
+        self._owner.take_report(view, incarnation, report, now)
+        self._dispatch_soon()
+
+    def _store(self, partition):
+        self._ownership.store(partition)
+
+    def _partitions_changed(self):
+        self._contact()
+        self._dispatch_soon()
+
+    def _dispatch_soon(self):
+        if not self._dispatch_due:
+            self._dispatch_due = True
+            asyncio.get_running_loop().call_soon(self._dispatch)
+
+    def _dispatch(self):
+        self._dispatch_due = False
+        self._owner.dispatch(boot_time())
+
+    # Time
+
+    def _tick(self):
+        self._owner.tick(boot_time())
+
+    def _contact(self):
+        """Sends a heartbeat to every runner and to every other dispatcher."""
+        now = boot_time()
+        claims = self._ownership.claims
+        for view in self._views.values():
+            if now - view.heard_at > REOPEN_AFTER_S and now - view.reopened_at > (
+                REOPEN_AFTER_S
+            ):
+                view.reopened_at = now
+                self._peers.reopen(view.name)
+            contact = Contact(
+                claims, view.trust.stamp, view.trust.newest, view.incarnation
+            )
+            self._peers.send(view.name, contact)
+        own = str(self.settings.process.address)
+        partitions = tuple(self._owner.partitions)
+        message = Claims(partitions, self._owner.pending)
+        for address, member in self._members.known.items():
+            if member.role == DISPATCHER and address != own:
+                self._peers.send(address, message)
+
+
+def run(settings, env):
+    """Runs the role; returns an ExitStatus."""
+    return Role.run(Dispatcher, settings, env)
--- /dev/null
+++ b/packages/daemon/banyanwheel_daemon/members.py
@@ -0,0 +1,91 @@
+"""The list of processes, kept under their addresses in a topic of the log."""
+
+import asyncio
+
+import msgspec
+
+from banyanwheel_jobs.ports import LogTruncated, LogUnavailable
+
+__all__ = ["Member", "Members"]
+
+TOPIC = "members"
+PARTITION = 0
+RETRY_S = 0.3
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """One process; its key is the address for its peers."""
+
+    role: str
+    data_centre: str
+
+
+class Members:
+    """Registers this process, and follows the list."""
+
+    def __init__(self, log, note):
+        self._log = log
+        self._note = note
+        self._known = {}
+
+    @property
+    def known(self):
+        """The members by address."""
+        return self._known
+
+    async def register(self, address, member):
+        """Puts this process on the list, however long that takes."""
+        record = [(address, msgspec.msgpack.encode(member))]
+        while not await self._append(record):
+            await asyncio.sleep(RETRY_S)
+
+    async def remove(self, address):
+        """Takes this process off the list, if the log answers now."""
+        await self._append([(address, None)])
+
+    async def _append(self, records):
+        try:
+            await self._log.append(TOPIC, PARTITION, records, epoch=None, sequence=0)
+        except LogUnavailable as error:
+            self._note("log:unavailable", call="members", fault=str(error))
+            return False
+        return True
+
+    async def refresh(self):
+        """Reads the whole list; returns the offset after it."""
+        records, end = await self._log.newest(TOPIC, PARTITION)
+        listed = {record.key for record in records}
+        for address in set(self._known) - listed:
+            del self._known[address]
+        for record in records:
+            self._apply(record)
+        return end
+
+    def _apply(self, record):
+        if record.value is None:
+            self._known.pop(record.key, None)
+            return
+        try:
+            member = msgspec.msgpack.decode(record.value, type=Member)
+        except msgspec.MsgspecError as error:
+            self._note("log:unreadable", key=record.key, fault=str(error))
+            return
+        self._known[record.key] = member
+
+    async def follow(self, on_change):
+        """Keeps the list up to date; calls ``on_change()`` after each change."""
+        offset = None
+        while True:
+            try:
+                if offset is None:
+                    offset = await self.refresh()
+                else:
+                    records, offset = await self._log.follow(TOPIC, PARTITION, offset)
+                    for record in records:
+                        self._apply(record)
+                on_change()
+            except LogTruncated:
+                offset = None
+            except LogUnavailable as error:
+                self._note("log:unavailable", call="members", fault=str(error))
+                await asyncio.sleep(RETRY_S)
--- /dev/null
+++ b/packages/daemon/banyanwheel_daemon/notes.py
@@ -0,0 +1,51 @@
+"""What a process tells the people on call: log lines and counters."""
+
+from eliot import log_message
+
+__all__ = ["Notes"]
+
+ROUTINE_LINES_PER_S = 50  # bounds the processor time of logging under load
+# Lines that are kept whatever the load: they change what the process believes.
+_ALWAYS = (
+    "process:",
+    "partition:",
+    "worker:",
+    "log:",
+    "configuration:",
+    "runner:",
+    "request:refused",
+    "task:superseded",
+)
+
+
+class Notes:
+    """Writes a line for each decision, within a budget, and counts reasons."""
+
+    def __init__(self, metrics, clock):
+        self._metrics = metrics
+        self._clock = clock
+        self._second = 0
+        self._written = 0
+        self._left_out = 0
+
+    def __call__(self, event, **fields):
+        """Logs one event with the inputs that decided it."""
+        if not event.startswith(_ALWAYS) and not self._within_budget():
+            return
+        log_message(event, **fields)
+
+    def count(self, name, reason, amount=1):
+        """Adds to a counter under a reason."""
+        self._metrics.count(name, reason, amount)
+
+    def _within_budget(self):
+        second = int(self._clock())
+        if second != self._second:
+            if self._left_out:
+                log_message("log:lines-left-out", lines=self._left_out)
+            self._second, self._written, self._left_out = second, 0, 0
+        if self._written >= ROUTINE_LINES_PER_S:
+            self._left_out += 1
+            return False
+        self._written += 1
+        return True
--- a/packages/daemon/banyanwheel_daemon/transport.py
+++ b/packages/daemon/banyanwheel_daemon/transport.py
@@ -16,9 +16,9 @@
 from eliot import log_message
 from tornado.ioloop import IOLoop
 
+from banyanwheel_core import messages as core_messages
 from banyanwheel_core.effects import Peer
 from banyanwheel_core.errors import ListenError
-from banyanwheel_core.messages import Envelope, Misaddressed
 
 __all__ = ["Counts", "Transport"]
 
@@ -80,11 +80,19 @@
     """Carries batches of messages to and from peers.
 
     ``on_envelope(envelope)`` is called on the loop for each envelope received.
+    ``messages`` is the module of the messages, with ``Envelope`` and ``Misaddressed``.
     ``clock`` gives monotonic seconds. Create it inside a running loop.
     """
 
     def __init__(
-        self, name, incarnation, bind_address, on_envelope, *, clock=time.monotonic
+        self,
+        name,
+        incarnation,
+        bind_address,
+        on_envelope,
+        *,
+        messages=core_messages,
+        clock=time.monotonic,
     ):
         self._name = name
         self._incarnation = incarnation
@@ -92,7 +100,8 @@
         self._clock = clock
         self._loop = IOLoop.current()
         self._encoder = msgspec.json.Encoder()
-        self._decoder = msgspec.json.Decoder(Envelope)
+        self._messages = messages
+        self._decoder = msgspec.json.Decoder(messages.Envelope)
         self._connections = {}  # by (peer name, address)
         self._routes = {}  # by Peer
         self._batches = {}  # by (Peer, address or None)
@@ -238,7 +247,7 @@
         return self._router
 
     def _send_messages(self, socket, prefix, recipient, batch):
-        envelope = Envelope(
+        envelope = self._messages.Envelope(
             self._name,
             self._incarnation,
             recipient,
@@ -330,7 +339,11 @@
     def _reject(self, socket, prefix, envelope):
         """Tells the sender which incarnation runs here, unless that's its own news."""
         self.counts.misaddressed += 1
-        if any(isinstance(message, Misaddressed) for message in envelope.messages):
+        if any(
+            isinstance(message, self._messages.Misaddressed)
+            for message in envelope.messages
+        ):
             return
-        batch = _Batch(messages=[Misaddressed(self._incarnation)])
+        notice = self._messages.Misaddressed(self._incarnation)
+        batch = _Batch(messages=[notice])
         self._send_messages(socket, prefix, envelope.incarnation, batch)
--- /dev/null
+++ b/packages/jobs/banyanwheel_jobs/ends.py
@@ -0,0 +1,159 @@
+"""What an owner makes of the reports of runners."""
+
+from .job import TaskState
+from .messages import EndsTaken, StopTasks, TaskRun
+from .model import TRANSIENT, EndKind, JobState
+
+__all__ = ["EndHandling"]
+
+COUNTED_KINDS = (EndKind.DONE, EndKind.FAILED)
+
+
+class EndHandling:
+    """The part of an owner that takes in reports."""
+
+    def take_report(self, view, incarnation, report, now):
+        """Takes in a report of a runner's process ``incarnation``."""
+        restarted = view.incarnation not in ("", incarnation)
+        view.heard_at = now
+        view.worker = report.worker
+        view.settled = report.settled
+        view.epochs = dict(report.epochs)
+        if restarted:
+            view.outstanding.clear()
+        view.reflect(report)
+        if not report.settled:
+            return
+        if restarted:
+            keep = {(status.task, status.run) for status in report.runs}
+            keep.update((end.task, end.run) for end in report.ends)
+            for partition in self._all_partitions():
+                self._release_runs(partition, view, "runner-restarted", keep)
+        view.incarnation = incarnation
+        for status in report.runs:
+            self._take_run(view, status, now)
+        taken, superseded = [], []
+        for end in report.ends:
+            self._take_end(view, end, now, taken, superseded)
+        if taken or superseded:
+            self._send(view.name, EndsTaken(tuple(taken), tuple(superseded)))
+
+    def _take_run(self, view, status, now):
+        partition, job, task = self.find(status.partition, status.task)
+        if partition is None:
+            return
+        if task is None or not job.live or task.state is TaskState.DONE:
+            self._stop(partition, view, status, "job-over")
+        elif task.state is TaskState.PLACED:
+            if (task.runner, task.run) != (view.name, status.run):
+                self._stop(partition, view, status, "placed-elsewhere")
+        elif status.run >= task.run:
+            job.adopt(task, status.run, view.name, now)
+            self._note("task:adopted", task=str(task.id), run=status.run)
+        else:
+            self._stop(partition, view, status, "outdated")
+
+    def _stop(self, partition, view, status, reason):
+        run = TaskRun(status.task, status.run)
+        self._send(view.name, StopTasks(partition.number, partition.epoch, (run,)))
+        self._note("task:stopped", task=str(status.task), run=status.run, reason=reason)
+
+    def _take_end(self, view, end, now, taken, superseded):
+        partition, job, task = self.find(end.partition, end.task)
+        if partition is None:
+            return
+        run = TaskRun(end.task, end.run)
+        if task is None:
+            ended = partition.ended.get(end.task.job)
+            other = ended is not None and ended.run_of(end.task) not in (None, end.run)
+            if end.kind is EndKind.DONE and other:
+                superseded.append(run)
+            else:
+                taken.append(run)
+        elif (end.task, end.run) in job.unstored or (
+            (end.task, end.run) in job.in_store
+        ):
+            return
+        elif self._is_current(task, view, end):
+            self._apply_end(partition, job, task, view, end, now, taken)
+        elif end.kind not in COUNTED_KINDS or self._is_known(task, end):
+            taken.append(run)
+        else:
+            superseded.append(run)
+            self._note("task:superseded", task=str(end.task), run=end.run)
+
+    def _is_current(self, task, view, end):
+        """Tells whether the end is that of the task's newest run."""
+        match task.state:
+            case TaskState.PLACED:
+                return (task.runner, task.run) == (view.name, end.run)
+            case TaskState.WAITING:
+                return end.run >= task.run and end.run not in task.failed_runs
+        return False
+
+    def _is_known(self, task, end):
+        if end.kind is EndKind.DONE:
+            return task.state is TaskState.DONE and task.run == end.run
+        return end.run in task.failed_runs
+
+    def _apply_end(self, partition, job, task, view, end, now, taken):
+        task.run = end.run
+        if end.checkpoint:
+            task.checkpoint = end.checkpoint
+        counted = end.kind in COUNTED_KINDS
+        if counted:
+            view.note_end(end.kind is EndKind.FAILED)
+        if counted and partition.number != TRANSIENT:
+            if not job.unstored:
+                job.unstored_since = now
+            job.unstored[end.task, end.run] = view.name
+        else:
+            taken.append(TaskRun(end.task, end.run))
+        match end.kind:
+            case EndKind.DONE:
+                job.finish(task, end.run)
+                if job.complete and job.live:
+                    self._end_job(partition, job, JobState.COMPLETED)
+            case EndKind.FAILED:
+                self._fail_run(partition, job, task, view, end)
+            case _:
+                self._retry(job, task, end.reason or end.kind, view, end)
+        if partition.number == TRANSIENT:
+            self.close_transient(job)
+
+    def _fail_run(self, partition, job, task, view, end):
+        task.failed_runs.add(end.run)
+        task.avoided.add(view.name)
+        attempts = job.submission.queue.max_attempts
+        if len(task.failed_runs) >= attempts and job.live:
+            job.release(task)
+            reason = f"task {task.id} failed {attempts} times"
+            self._end_job(partition, job, JobState.FAILED, reason)
+        else:
+            self._retry(job, task, "failed", view, end)
+
+    def _retry(self, job, task, reason, view, end):
+        job.release(task)
+        if job.live:
+            self._waiting.add(job)
+        self._note(
+            "task:retry",
+            task=str(task.id),
+            run=end.run,
+            reason=reason,
+            runner=view.name,
+            run_ms=end.run_ms,
+        )
+        self._note.count("banyanwheel.retries", reason)
+
+    def _take_ends(self, job, ends=None):
+        """Tells the runners that stored ends need not be reported again."""
+        if ends is None:
+            ends = {**job.unstored, **job.in_store}
+            job.unstored = {}
+        by_runner = {}
+        for (task, run), runner in ends.items():
+            job.in_store.pop((task, run), None)
+            by_runner.setdefault(runner, []).append(TaskRun(task, run))
+        for runner, runs in by_runner.items():
+            self._send(runner, EndsTaken(tuple(runs)))
--- /dev/null
+++ b/packages/jobs/banyanwheel_jobs/job.py
@@ -0,0 +1,199 @@
+"""A job at its owner: which tasks may start, which run, which have ended."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .model import JobState, Submission, TaskId
+
+__all__ = ["Job", "Task", "TaskState"]
+
+RUNS_PER_EPOCH = 1_000  # run numbers that one ownership may use for a task
+
+
+class TaskState(Enum):
+    """Where a task stands."""
+
+    WAITING = "waiting"
+    PLACED = "placed"
+    DONE = "done"
+
+
+@dataclass(slots=True)
+class Task:
+    """One task of a job.
+
+    ``run`` is the number of its newest run. ``unsure_until`` is a time in seconds
+    before which a run that its owner does not know of may still exist. ``avoided`` are
+    the runners at which a run has failed.
+    """
+
+    id: TaskId
+    state: TaskState = TaskState.WAITING
+    run: int = 0
+    runner: str = ""
+    placed_at: float = 0.0
+    failed_runs: set = field(default_factory=set)
+    stopping: bool = False
+    checkpoint: str = ""
+    unsure_until: float = 0.0
+    avoided: set = field(default_factory=set)
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A stored job and its tasks.
+
+    ``ending`` is the final state that is being stored. ``on_final`` are called once the
+    job has ended. Times are seconds of the owner's clock.
+    """
+
+    submission: Submission
+    partition: int
+    accepted_epoch: int
+    received_at: float
+    tasks: list = field(default_factory=list)  # a list of tasks for each step
+    state: JobState = JobState.QUEUED
+    ending: JobState | None = None
+    reason: str = ""
+    progress_stored: bool = False
+    unstored: dict = field(default_factory=dict)  # runner by run that ended
+    unstored_since: float = 0.0
+    in_store: dict = field(default_factory=dict)  # the same, while being stored
+    on_final: list = field(default_factory=list)
+    expires_at: float | None = None
+    successor: object = None  # hands the same job in again once no run is left
+    _open_steps: list = field(default_factory=list)
+
+    @classmethod
+    def from_submission(cls, submission, partition, epoch, received_at):
+        """Returns a job none of whose tasks has started."""
+        job = cls(submission, partition, epoch, received_at)
+        for number, step in enumerate(submission.steps):
+            ids = (
+                TaskId(submission.job_id, 0, number, index)
+                for index in range(step.count)
+            )
+            job.tasks.append([Task(task_id) for task_id in ids])
+        job._open_steps = [len(tasks) for tasks in job.tasks]
+        return job
+
+    @property
+    def id(self):
+        """The caller's name for the job."""
+        return self.submission.job_id
+
+    @property
+    def live(self):
+        """Whether tasks of it may still start."""
+        return not self.state.final and self.ending is None
+
+    @property
+    def complete(self):
+        """Whether every task is done."""
+        return not any(self._open_steps)
+
+    @property
+    def on_time_until(self):
+        """The time, in the owner's seconds, until which its end is on time."""
+        return self.received_at + self.submission.objective_ms / 1000
+
+    def step_of(self, task):
+        """Returns the step of a task."""
+        return self.submission.steps[task.id.step]
+
+    def find(self, task_id):
+        """Returns a task, or None where the job has no such task."""
+        if task_id.occurrence or not 0 <= task_id.step < len(self.tasks):
+            return None
+        tasks = self.tasks[task_id.step]
+        return tasks[task_id.index] if 0 <= task_id.index < len(tasks) else None
+
+    def startable(self, now):
+        """Yields the tasks that may be placed now."""
+        if not self.live:
+            return
+        for number, step in enumerate(self.submission.steps):
+            if not self._open_steps[number]:
+                continue
+            if any(self._open_steps[before] for before in step.after):
+                continue
+            for task in self.tasks[number]:
+                if task.state is TaskState.WAITING and task.unsure_until <= now:
+                    yield task
+
+    def placed(self):
+        """Returns the tasks that have a run at a runner."""
+        return [
+            task
+            for tasks in self.tasks
+            for task in tasks
+            if task.state is TaskState.PLACED
+        ]
+
+    def place(self, task, runner, epoch, now):
+        """Gives a task a new run at ``runner``."""
+        base = (epoch - self.accepted_epoch) * RUNS_PER_EPOCH
+        task.run = max(task.run, base) + 1
+        task.state = TaskState.PLACED
+        task.runner = runner
+        task.placed_at = now
+        task.stopping = False
+        self.state = JobState.RUNNING
+
+    def adopt(self, task, run, runner, now):
+        """Takes over a run that a former owner has placed."""
+        task.run = max(task.run, run)
+        task.state = TaskState.PLACED
+        task.runner = runner
+        task.placed_at = now
+        self.state = JobState.RUNNING
+
+    def release(self, task):
+        """Notes that a task has no run any more and needs another."""
+        task.state = TaskState.WAITING
+        task.runner = ""
+        task.stopping = False
+
+    def finish(self, task, run):
+        """Notes that a run has done its task."""
+        if task.state is not TaskState.DONE:
+            self._open_steps[task.id.step] -= 1
+        task.state = TaskState.DONE
+        task.run = run
+        task.runner = ""
+
+    def restore(self, progress):
+        """Applies stored progress."""
+        for step, index, run in progress.done:
+            task = self.find(TaskId(self.id, 0, step, index))
+            if task is not None:
+                self.finish(task, run)
+        for step, index, run in progress.failed:
+            task = self.find(TaskId(self.id, 0, step, index))
+            if task is not None:
+                task.failed_runs.add(run)
+        self.progress_stored = True
+        self.state = JobState.RUNNING
+
+    def on_worker(self, step, runner):
+        """Returns how many tasks of a step have a run at ``runner``."""
+        return Counter(task.runner for task in self.tasks[step])[runner]
+
+    def done_runs(self):
+        """Returns (step, index, run) of the tasks that are done."""
+        return tuple(
+            (task.id.step, task.id.index, task.run)
+            for tasks in self.tasks
+            for task in tasks
+            if task.state is TaskState.DONE
+        )
+
+    def failed_runs(self):
+        """Returns (step, index, run) of every run that has failed."""
+        return tuple(
+            (task.id.step, task.id.index, run)
+            for tasks in self.tasks
+            for task in tasks
+            for run in sorted(task.failed_runs)
+        )
--- /dev/null
+++ b/packages/jobs/banyanwheel_jobs/journal.py
@@ -0,0 +1,110 @@
+"""Group commit on one partition of the log.
+
+One append is in flight at a time; records that come meanwhile leave together in the
+next. An append without an answer is repeated under its sequence number, which the log
+carries out once.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+__all__ = ["Batch", "Journal"]
+
+MAX_BATCH_BYTES = 512 * 1024  # a quarter of what one call of the log takes
+FRAME_BYTES = 5  # length of the record and of its key
+
+
+@dataclass(slots=True)
+class Batch:
+    """Records that are stored together, with the entries they came in."""
+
+    sequence: int
+    records: list
+    entries: list
+    sent: bool = False
+
+
+@dataclass(slots=True)
+class _Entry:
+    records: list
+    on_stored: object
+    on_abandoned: object
+    bytes: int
+
+
+@dataclass(slots=True)
+class Journal:
+    """The records of one ownership of a partition that are not stored yet."""
+
+    epoch: int
+    _sequence: int = 0
+    _pending: deque = field(default_factory=deque)
+    _in_flight: Batch | None = None
+
+    @property
+    def idle(self):
+        """Whether nothing is left to store."""
+        return not self._pending and self._in_flight is None
+
+    @property
+    def in_flight(self):
+        """The batch that has been sent and not answered, or None."""
+        return self._in_flight
+
+    def add(self, records, on_stored, on_abandoned=None):
+        """Queues records; ``on_stored()`` is called when all of them are stored.
+
+        ``on_abandoned(sent)`` is called in its place when the ownership ends, or while
+        the log is away; ``sent`` tells whether the records may be stored all the same.
+        """
+        size = sum(FRAME_BYTES + len(key) + len(value or b"") for key, value in records)
+        self._pending.append(_Entry(records, on_stored, on_abandoned, size))
+
+    def next_batch(self):
+        """Returns the next batch to send, or None while one is in flight."""
+        if self._in_flight is not None or not self._pending:
+            return None
+        batch = Batch(self._sequence, [], [])
+        size = 0
+        while self._pending and size + self._pending[0].bytes <= MAX_BATCH_BYTES:
+            entry = self._pending.popleft()
+            batch.records.extend(entry.records)
+            batch.entries.append(entry)
+            size += entry.bytes
+        self._sequence += 1
+        self._in_flight = batch
+        return batch
+
+    def resequence(self, expected):
+        """Continues at the sequence number that the log expects."""
+        self._in_flight.sequence = expected
+        self._sequence = expected + 1
+
+    def stored(self):
+        """Notes that the batch in flight is stored, and calls back."""
+        batch, self._in_flight = self._in_flight, None
+        for entry in batch.entries:
+            entry.on_stored()
+
+    def abandon(self):
+        """Ends the journal: what is not stored by now is not stored by it."""
+        batch, self._in_flight = self._in_flight, None
+        pending, self._pending = self._pending, deque()
+        for entry in batch.entries if batch else ():
+            _abandon(entry, batch.sent)
+        for entry in pending:
+            _abandon(entry, False)
+
+    def shed(self):
+        """Drops what has not been sent and can be refused."""
+        refused = [entry for entry in self._pending if entry.on_abandoned]
+        self._pending = deque(
+            entry for entry in self._pending if not entry.on_abandoned
+        )
+        for entry in refused:
+            _abandon(entry, False)
+
+
+def _abandon(entry, sent):
+    if entry.on_abandoned:
+        entry.on_abandoned(sent)
--- /dev/null
+++ b/packages/jobs/banyanwheel_jobs/partition.py
@@ -0,0 +1,110 @@
+"""One ownership of a partition: its jobs and its journal."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+import msgspec
+
+from .job import Job
+from .journal import Journal
+from .model import TRANSIENT, JobState, TaskId
+from .records import Accepted, Ended, Progress, decode, split_key
+
+__all__ = ["EndedJob", "Partition"]
+
+
+@dataclass(frozen=True, slots=True)
+class EndedJob:
+    """What is kept of a job after its end; ``done`` holds (step, index, run)."""
+
+    state: JobState
+    done: tuple
+    queue: str = ""
+
+    def run_of(self, task):
+        """Returns the run that did a task, None where none is known."""
+        for step, index, run in self.done:
+            if (step, index) == (task.step, task.index):
+                return run
+        return None
+
+
+@dataclass(slots=True, eq=False)
+class Partition:
+    """The jobs of one partition while this process owns it.
+
+    ``opened_at`` is in the owner's seconds. Until it is ``surveyed``, runs may exist
+    that the owner doesn't know of.
+    """
+
+    number: int
+    epoch: int
+    opened_at: float
+    journal: Journal
+    jobs: dict = field(default_factory=dict)
+    ended: dict = field(default_factory=dict)
+    expiring: deque = field(default_factory=deque)  # (Unix ms of the end, job id)
+    storing: dict = field(default_factory=dict)  # replies by id of a job being stored
+    closing: dict = field(
+        default_factory=dict
+    )  # transient jobs with runs to be stopped
+    surveyed: bool = False
+    unread: int = 0
+
+    @classmethod
+    def open(cls, number, epoch, records, now, now_ms, unsure_until):
+        """Restores a partition from the newest record of each key."""
+        partition = cls(number, epoch, now, Journal(epoch))
+        progress = {}
+        for record in records:
+            partition._restore(record, progress, now, now_ms)
+        for job_id, stored in progress.items():
+            if job_id in partition.jobs:
+                partition.jobs[job_id].restore(stored)
+        for job in partition.jobs.values():
+            for tasks in job.tasks:
+                for task in tasks:
+                    task.unsure_until = unsure_until
+        partition.expiring = deque(sorted(partition.expiring))
+        return partition
+
+    @classmethod
+    def transient(cls, now):
+        """Returns the place of the jobs that are not stored."""
+        return cls(TRANSIENT, 0, now, Journal(0), surveyed=True)
+
+    @property
+    def all_jobs(self):
+        """The jobs that may have runs."""
+        return [*self.jobs.values(), *self.closing.values()]
+
+    def _restore(self, record, progress, now, now_ms):
+        job_id, is_progress = split_key(record.key)
+        try:
+            stored = decode(record.value)
+        except msgspec.MsgspecError:
+            self.unread += 1
+            return
+        match stored:
+            case Accepted(submission, epoch):
+                age = max(0, now_ms - submission.received_ms) / 1000
+                job = Job.from_submission(submission, self.number, epoch, now - age)
+                self.jobs[job_id] = job
+            case Ended(state, ended_ms, done):
+                self.ended[job_id] = EndedJob(state, done)
+                self.expiring.append((ended_ms, job_id))
+            case Progress() if is_progress:
+                progress[job_id] = stored
+
+    def survey(self):
+        """Notes that every run of this partition's tasks is known by now."""
+        self.surveyed = True
+        for job in self.jobs.values():
+            for tasks in job.tasks:
+                for task in tasks:
+                    task.unsure_until = 0.0
+
+    def find(self, task_id):
+        """Returns a job and its task, each None where there is none."""
+        job = self.jobs.get(task_id.job) or self.closing.get(task_id.job)
+        return job, job.find(TaskId(*task_id)) if job else None
--- /dev/null
+++ b/packages/jobs/banyanwheel_jobs/placement.py
@@ -0,0 +1,82 @@
+"""Which job goes first, and which runner gets a task."""
+
+from dataclasses import dataclass
+
+__all__ = ["Placement", "Rank", "rank"]
+
+LATE_FACTOR = 3  # a job counts, as late, up to this many times its objective
+FAILED_HERE_FACTOR = 10.0  # a runner at which the task has failed is the last choice
+FAILING_FACTOR = 5.0
+OTHER_DATA_CENTRE_FACTOR = 1.02  # bytes between data centres are paid for
+SAME_JOB_FACTOR = 0.98  # the job's text travels once for each runner
+TIER_S = 1_000.0
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Rank:
+    """Lower goes first: jobs that can end on time, then late, then the rest."""
+
+    tier: int
+    latest_start: float
+
+    def urgency(self, now):
+        """Returns the rank as seconds from now, for comparison at a runner."""
+        return self.tier * TIER_S + self.latest_start - now
+
+
+def rank(job, now):
+    """Returns the Rank of a job by the least slack."""
+    chain_s = job.submission.chain_ms / 1000
+    on_time = job.on_time_until - chain_s
+    if now <= on_time:
+        return Rank(0, on_time)
+    objective_s = job.submission.objective_ms / 1000
+    late = job.received_at + LATE_FACTOR * objective_s - chain_s
+    return Rank(1, late) if now <= late else Rank(2, job.received_at)
+
+
+class Placement:
+    """Chooses the runner where a task is expected to end first."""
+
+    def __init__(self, data_centre, remote_rack_factor):
+        self._data_centre = data_centre
+        self._remote_rack_factor = remote_rack_factor
+
+    def choose(self, job, task, views, used):
+        """Returns the best of ``views`` with room, or None.
+
+        ``used`` are the runners that get other tasks of the job in this round.
+        """
+        step = job.step_of(task)
+        service = job.submission.queue.service
+        best, least = None, float("inf")
+        for view in views:
+            if not self._allowed(job, task, step, view, service):
+                continue
+            cost = self._cost(task, step, view, used)
+            if cost < least:
+                best, least = view, cost
+        return best
+
+    def _allowed(self, job, task, step, view, service):
+        worker = view.worker
+        if worker.service != service or not view.room_for(step.resources):
+            return False
+        if step.label and step.label not in worker.labels:
+            return False
+        limit = step.max_per_worker
+        return not limit or job.on_worker(task.id.step, view.name) < limit
+
+    def _cost(self, task, step, view, used):
+        cost = view.slowness
+        if step.rack and step.rack not in view.worker.labels:
+            cost *= self._remote_rack_factor
+        if view.name in task.avoided:
+            cost *= FAILED_HERE_FACTOR
+        if view.failing:
+            cost *= FAILING_FACTOR
+        if view.data_centre != self._data_centre:
+            cost *= OTHER_DATA_CENTRE_FACTOR
+        if view in used:
+            cost *= SAME_JOB_FACTOR
+        return cost
--- /dev/null
+++ b/packages/jobs/banyanwheel_jobs/routing.py
@@ -0,0 +1,35 @@
+"""Which queue a caller's request belongs to."""
+
+from dataclasses import dataclass
+
+__all__ = ["RoutingTable"]
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingTable:
+    """The queues of one version of the configuration.
+
+    ``by_host`` holds, for each host, (path prefix, queue), longest prefix first.
+    """
+
+    version: int
+    by_host: dict
+    max_body_bytes: int
+
+    @classmethod
+    def build(cls, version, queues, max_body_bytes):
+        """Returns the table of (host, path prefix, Queue) rows."""
+        by_host = {}
+        for host, prefix, queue in queues:
+            by_host.setdefault(host.lower(), []).append((prefix, queue))
+        for rows in by_host.values():
+            rows.sort(key=lambda row: len(row[0]), reverse=True)
+        return cls(version, by_host, max_body_bytes)
+
+    def match(self, host, path):
+        """Returns the queue of the longest prefix and the rest of the path, or None."""
+        name = host.rpartition(":")[0] if ":" in host else host
+        for prefix, queue in self.by_host.get(name.lower(), ()):
+            if path.startswith(prefix):
+                return queue, path[len(prefix) :]
+        return None
--- /dev/null
+++ b/packages/jobs/banyanwheel_jobs/runners.py
@@ -0,0 +1,79 @@
+"""An owner's view of one runner and the worker beside it."""
+
+from dataclasses import dataclass, field
+
+from .authority import Trust
+
+__all__ = ["RunnerView"]
+
+SILENT_AFTER_S = 0.8  # three heartbeats
+FAILURE_MEMORY = 0.8  # weight of what was known before, at each end
+FAILING_SHARE = 0.5
+MIN_SLOWNESS = 0.2
+MAX_SLOWNESS = 20.0
+
+
+@dataclass(slots=True, eq=False)
+class RunnerView:
+    """What an owner knows of a runner; ``name`` is the address it listens on.
+
+    ``incarnation`` is that of the runner's process. ``outstanding`` are the orders that
+    no report has shown yet, by (task, run).
+    """
+
+    name: str
+    data_centre: str
+    incarnation: str = ""
+    settled: bool = False
+    worker: object = None  # a WorkerStatus
+    heard_at: float = float("-inf")
+    epochs: dict = field(default_factory=dict)
+    trust: Trust = field(default_factory=Trust)
+    outstanding: dict = field(default_factory=dict)
+    failure_share: float = 0.0
+    reopened_at: float = 0.0
+
+    def usable(self, now):
+        """Tells whether tasks may be placed there at all."""
+        return (
+            self.settled
+            and self.worker is not None
+            and self.worker.accepting
+            and now - self.heard_at < SILENT_AFTER_S
+        )
+
+    @property
+    def free(self):
+        """The room that is left, less what has been ordered since the last report."""
+        free = self.worker.free
+        for order in self.outstanding.values():
+            free = free - order.resources
+        return free
+
+    @property
+    def slowness(self):
+        """The expected run time over a task's estimate."""
+        known = self.worker.slowness or 1.0
+        return min(MAX_SLOWNESS, max(MIN_SLOWNESS, known))
+
+    @property
+    def failing(self):
+        """Whether most of what was started there lately has failed."""
+        return self.failure_share > FAILING_SHARE
+
+    def note_end(self, failed):
+        """Takes an end into the share of failures."""
+        self.failure_share *= FAILURE_MEMORY
+        if failed:
+            self.failure_share += 1 - FAILURE_MEMORY
+
+    def reflect(self, report):
+        """Drops the orders that a report shows."""
+        if not self.outstanding:
+            return
+        for status in (*report.runs, *report.ends):
+            self.outstanding.pop((status.task, status.run), None)
+
+    def room_for(self, resources):
+        """Tells whether a task fits in what is left."""
+        return resources.fits(self.free)
--- /dev/null
+++ b/packages/jobs/banyanwheel_jobs/runs.py
@@ -0,0 +1,78 @@
+"""The runs that a runner holds, and the room that they take on the worker."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from .messages import Order
+from .model import Resources
+
+__all__ = ["HeldEnd", "HeldRun", "RunState", "room_used"]
+
+
+class RunState(Enum):
+    """Where a run stands at its runner."""
+
+    WAITING = "waiting"  # for room; nothing has been sent
+    STARTING = "starting"  # the start has been sent
+    DOUBTFUL = "doubtful"  # the start had no answer
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+ON_WORKER = frozenset(RunState) - {RunState.WAITING}
+
+
+@dataclass(slots=True, eq=False)
+class HeldRun:
+    """A run at its runner; times are in the runner's seconds.
+
+    ``foreign`` runs were found in the worker's list and their size is not known.
+    ``resolved_by`` is the fence that settles whether a doubtful run is there.
+    """
+
+    order: Order
+    partition: int
+    epoch: int
+    owner: object  # who sent the order
+    spec: str
+    due: float
+    queued_at: float
+    state: RunState = RunState.WAITING
+    started_at: float = 0.0
+    percent: int = -1
+    checkpoint: str = ""
+    foreign: bool = False
+    expires: float = float("inf")
+    resolved_by: int = 0
+    stop_asked: bool = False
+
+    @property
+    def key(self):
+        """The task and the number of the run."""
+        return self.order.task, self.order.run
+
+    @property
+    def on_worker(self):
+        """Whether it takes room on the worker, or may."""
+        return self.state in ON_WORKER
+
+
+@dataclass(slots=True)
+class HeldEnd:
+    """An end that its owner has not taken yet.
+
+    ``number`` is the worker's number of it, None where the worker did not list it.
+    """
+
+    end: object  # a RunEnd
+    owner: object
+    number: int | None = None
+
+
+def room_used(runs):
+    """Returns the room of all runs that are, or may be, on the worker."""
+    used = Resources()
+    for run in runs:
+        if run.on_worker:
+            used = used + run.order.resources
+    return used
