--- a/packages/daemon/banyanwheel_daemon/role.py
+++ b/packages/daemon/banyanwheel_daemon/role.py
@@ -30,7 +30,7 @@
         self._name = name
         self._env = env
         self._tasks = set()
-        self._stop = asyncio.Event()
+        self._stop_asked = asyncio.Event()
 
     @staticmethod
     def run(role, settings, env):
@@ -47,7 +47,7 @@
     @property
     def stopping(self):
         """Whether the process has been asked to stop."""
-        return self._stop.is_set()
+        return self._stop_asked.is_set()
 
     def spawn(self, coroutine):
         """Runs a coroutine in the background; a failure of it is logged."""
@@ -74,7 +74,7 @@
 
     async def stop_asked(self):
         """Waits for SIGTERM or SIGINT."""
-        await self._stop.wait()
+        await self._stop_asked.wait()
         self.note("process:stopping", role=self._name)
 
     def listen_ready(self, address, is_ready):
@@ -103,7 +103,7 @@
         """Logs the start and takes the signals over."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop.set)
+            loop.add_signal_handler(number, self._stop_asked.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self.note(
             "process:started", role=self._name, process=self.settings.process.name
