Test jobs over a network that the test controls, and mend what that found

Found by tests that failed first: - A job sent again to another dispatcher never ended where its run number was used up at a worker by the dead one; such an order is refused as outdated now, and the next number taken. - A run that its runner had forgotten, with the end lost, kept its task placed for good. - The last acknowledgement of ends never reached a worker at which nothing ran. Found by reading: an order held up by a cut could start after its task was placed elsewhere (it now carries its own end of validity); a runner that left the list took the runs of transient jobs with it; open requests were cut off at the end of a stop.

--- a/packages/daemon/banyanwheel_daemon/caller_desk.py
+++ b/packages/daemon/banyanwheel_daemon/caller_desk.py
@@ -208,6 +208,13 @@
             self._note.count("banyanwheel.refusals", reply.outcome)
         request.reply(reply)
 
+    def give_up_all(self):
+        """Answers every open request, before the process ends."""
+        for request in list(self._requests.values()):
+            self._give_up(request)
+        for job_id in list(self._owner.transient.jobs):
+            self._owner.cancel_transient(job_id, "dispatcher-stopping")
+
     # The owner's side
 
     def _serve(self, ask, reply):
--- a/packages/daemon/banyanwheel_daemon/dispatcher.py
+++ b/packages/daemon/banyanwheel_daemon/dispatcher.py
@@ -115,6 +115,7 @@
             self._desk.open_requests or boot_time() - started < DRAIN_S
         ):
             await asyncio.sleep(TICK_S)
+        self._desk.give_up_all()
         self._callers.stop()
         await self._callers.close()
         self._peers.close(linger_ms=100)
@@ -142,18 +143,10 @@
                 self._views[address] = RunnerView(address, member.data_centre)
                 self.note("runner:known", runner=address)
         for address in set(self._views) - set(runners):
-            if not self._has_runs(address):
+            if not self._owner.has_runs(address):
                 del self._views[address]
                 self.note("runner:gone", runner=address)
 
-    def _has_runs(self, address):
-        return any(
-            task.runner == address
-            for partition in self._owner.partitions.values()
-            for job in partition.jobs.values()
-            for task in job.placed()
-        )
-
     # Messages
 
     def _send_to_runner(self, address, message):
@@ -206,6 +199,8 @@
 
     def _tick(self):
         self._owner.tick(boot_time())
+        if len(self._views) > self._members.count(RUNNER):
+            self._members_changed()
 
     def _contact(self):
         """Sends a heartbeat to every runner and to every other dispatcher."""
--- a/packages/daemon/banyanwheel_daemon/members.py
+++ b/packages/daemon/banyanwheel_daemon/members.py
@@ -33,6 +33,10 @@
         """The members by address."""
         return self._known
 
+    def count(self, role):
+        """Returns how many members have a role."""
+        return sum(member.role == role for member in self._known.values())
+
     async def register(self, address, member):
         """Puts this process on the list, however long that takes."""
         record = [(address, msgspec.msgpack.encode(member))]
--- a/packages/daemon/banyanwheel_daemon/runner.py
+++ b/packages/daemon/banyanwheel_daemon/runner.py
@@ -110,11 +110,12 @@
 
     async def _hold(self, wait_ms):
         runner, client, fence = self._runner, self._client, self._runner.fence
+        acknowledged = runner.acknowledged
         sent_at = boot_time()
         try:
             holdings = await client.hold(
                 fence=fence,
-                acknowledged=runner.acknowledged,
+                acknowledged=acknowledged,
                 deadline_ms=runner.deadline_ms(sent_at),
                 wait_ms=wait_ms,
             )
@@ -126,7 +127,7 @@
         if client is not self._client:
             return True
         before = runner.version
-        runner.take_holdings(holdings, fence, sent_at, boot_time())
+        runner.take_holdings(holdings, fence, acknowledged, sent_at, boot_time())
         self._turn()
         if runner.version != before:
             self._report_soon()
@@ -227,6 +228,7 @@
                     self._report_soon()
             case EndsTaken():
                 self._runner.take_ends_taken(message, now)
+                self._wake.set()
             case Misaddressed():
                 self._owners.pop(owner, None)
 
--- a/packages/jobs/banyanwheel_jobs/ends.py
+++ b/packages/jobs/banyanwheel_jobs/ends.py
@@ -14,6 +14,9 @@
 
     def take_report(self, view, incarnation, report, now):
         """Takes in a report of a runner's process ``incarnation``."""
+        if view.is_old(incarnation, report.stamp):
+            # It was held up on a connection that has been replaced.
+            return
         restarted = view.incarnation not in ("", incarnation)
         view.heard_at = now
         view.worker = report.worker
@@ -25,10 +28,8 @@
         if not report.settled:
             return
         if restarted:
-            keep = {(status.task, status.run) for status in report.runs}
-            keep.update((end.task, end.run) for end in report.ends)
             for partition in self._all_partitions():
-                self._release_runs(partition, view, "runner-restarted", keep)
+                self._release_runs(partition, view, "runner-restarted", view.listed)
         view.incarnation = incarnation
         for status in report.runs:
             self._take_run(view, status, now)
--- a/packages/jobs/banyanwheel_jobs/job.py
+++ b/packages/jobs/banyanwheel_jobs/job.py
@@ -35,6 +35,7 @@
     placed_at: float = 0.0
     failed_runs: set = field(default_factory=set)
     stopping: bool = False
+    unlisted_since: float | None = None
     checkpoint: str = ""
     unsure_until: float = 0.0
     avoided: set = field(default_factory=set)
@@ -154,6 +155,7 @@
         task.state = TaskState.WAITING
         task.runner = ""
         task.stopping = False
+        task.unlisted_since = None
 
     def finish(self, task, run):
         """Notes that a run has done its task."""
--- a/packages/jobs/banyanwheel_jobs/messages.py
+++ b/packages/jobs/banyanwheel_jobs/messages.py
@@ -122,7 +122,8 @@
 class StartTasks(_Message):
     """Tasks of one job for one incarnation of a worker; lower ``urgency`` goes first.
 
-    At ``expires_stamp``, in ms of the runner's clock, runs are stopped; 0 for never.
+    Stamps are in ms of the runner's clock: after ``valid_stamp`` the message is void,
+    at ``expires_stamp`` its runs are stopped; 0 for never.
     """
 
     partition: int
@@ -130,6 +131,7 @@
     worker: str
     spec: str
     urgency: float
+    valid_stamp: int
     expires_stamp: int
     orders: tuple[Order, ...]
 
--- a/packages/jobs/banyanwheel_jobs/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owner.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+import msgspec
+
 from .authority import replacement_delay
 from .ends import EndHandling
 from .job import Job, TaskState
@@ -20,6 +22,10 @@
 __all__ = ["Outcome", "Owner", "Reply"]
 
 PROGRESS_DELAY_S = 1.5  # ends wait this long for the job's own end; RULES allow 4 s
+# An order is void well before its owner gives a silent runner up and places the task
+# elsewhere: SILENT_AFTER_S and this are less than TRANSIENT_AUTHORITY_S.
+ORDER_LIFE_S = 0.35
+UNLISTED_S = 0.5  # a run that its runner's reports lack for this long is not there
 RESEND_S = 0.3  # an order that no report shows is sent again
 RETENTION_MARGIN_S = 30.0
 RETRY_AFTER_MS = 1_000  # the log is usually back, or the partition moved, by then
@@ -381,6 +387,7 @@
         urgency = rank(job, now).urgency(now)
         spec = job.submission.spec
         incarnation = view.worker.incarnation
+        valid = view.trust.stamp_at(now + ORDER_LIFE_S)
 
         def message(chosen):
             return StartTasks(
@@ -389,6 +396,7 @@
                 incarnation,
                 spec,
                 urgency,
+                valid,
                 expires,
                 chosen,
             )
@@ -405,6 +413,7 @@
         for view in self._views.values():
             self._resend(view, now)
             self._give_up_silent(view, now)
+        self._release_unlisted(now)
         for partition in self._partitions.values():
             self._survey(partition, now)
             self._store_progress(partition, now)
@@ -418,9 +427,34 @@
         for sent in view.outstanding.values():
             if now - sent.sent_at > RESEND_S:
                 sent.sent_at = now
+                valid = view.trust.stamp_at(now + ORDER_LIFE_S)
+                sent.message = msgspec.structs.replace(sent.message, valid_stamp=valid)
                 self._note.count("banyanwheel.retries", "order-unseen")
                 self._send(view.name, sent.message)
 
+    def _release_unlisted(self, now):
+        """Frees tasks whose runner says, again and again, that it has no such run."""
+        for partition in self._all_partitions():
+            for job in partition.all_jobs:
+                for task in job.placed():
+                    view = self._views.get(task.runner)
+                    if view is not None and self._is_unlisted(view, task, now):
+                        self._release(job, task, "unlisted")
+                self.close_transient(job)
+
+    def _is_unlisted(self, view, task, now):
+        key = (task.id, task.run)
+        if (
+            key in view.outstanding
+            or key in view.listed
+            or now - view.heard_at > UNLISTED_S
+        ):
+            task.unlisted_since = None
+            return False
+        if task.unlisted_since is None:
+            task.unlisted_since = now
+        return now - task.unlisted_since > UNLISTED_S
+
     def _give_up_silent(self, view, now):
         if now - view.heard_at < self._transient_replacement_s:
             return
@@ -440,15 +474,31 @@
                 if task.runner != view.name or (task.id, task.run) in keep:
                     continue
                 view.outstanding.pop((task.id, task.run), None)
-                job.release(task)
-                if job.live:
-                    self._waiting.add(job)
-                self._note(
-                    "task:released", task=str(task.id), run=task.run, reason=reason
-                )
-                self._note.count("banyanwheel.retries", reason)
+                self._release(job, task, reason)
             self.close_transient(job)
 
+    def _release(self, job, task, reason):
+        self._note(
+            "task:released",
+            task=str(task.id),
+            run=task.run,
+            runner=task.runner,
+            reason=reason,
+        )
+        self._note.count("banyanwheel.retries", reason)
+        job.release(task)
+        if job.live:
+            self._waiting.add(job)
+
+    def has_runs(self, runner):
+        """Whether tasks are placed at a runner."""
+        return any(
+            task.runner == runner
+            for partition in self._all_partitions()
+            for job in partition.all_jobs
+            for task in job.placed()
+        )
+
     def _survey(self, partition, now):
         if partition.surveyed:
             return
--- a/packages/jobs/banyanwheel_jobs/runner.py
+++ b/packages/jobs/banyanwheel_jobs/runner.py
@@ -57,6 +57,7 @@
         self._tombstones = deque(maxlen=TOMBSTONES)
         self._buried = set()
         self._cursor = Cursor()
+        self._told = 0  # the last acknowledgement that the worker has answered
         self._lapse = None
         self._slowness = 0.0
         self._lease_until = 0.0  # the latest time at which the lease can end
@@ -82,6 +83,7 @@
         return (
             not self.settled
             or self._cursor.open
+            or self._told < self.acknowledged
             or any(run.on_worker for run in self._runs.values())
         )
 
@@ -117,6 +119,7 @@
         self._announced = announcement
         self._gone = False
         self._cursor = Cursor()
+        self._told = 0
         self._lapse = None
         self._lease_until = 0.0
         self._slowness = 0.0
@@ -168,13 +171,14 @@
         """Whether the lease is to be renewed; not while it has to lapse."""
         return self._lapse is None or any(run.on_worker for run in self._runs.values())
 
-    def take_holdings(self, holdings, fence, sent_at, now):
-        """Takes the worker's lists in, as they were after ``sent_at``."""
+    def take_holdings(self, holdings, fence, acknowledged, sent_at, now):
+        """Takes in the worker's lists, the answer to what was sent at ``sent_at``."""
         self.read_clock(holdings.clock_ms, now)
         if self._announced is None or (
             holdings.incarnation != self._announced.incarnation
         ):
             return
+        self._told = max(self._told, acknowledged)
         listed = set()
         for ended in holdings.ended:
             listed.add((ended.task, ended.run))
@@ -313,11 +317,11 @@
 
     def take_start(self, owner, message, now):
         """Takes orders in; returns whether any of them is new."""
-        refusal = self._refusal(owner, message)
+        refusal = self._refusal(owner, message, now)
         fresh = False
         for order in message.orders:
             key = (order.task, order.run)
-            if key in self._runs or key in self._ends:
+            if key in self._runs or self._has_end(key, owner):
                 continue
             fresh = True
             run = HeldRun(
@@ -332,12 +336,22 @@
             if message.expires_stamp:
                 run.expires = message.expires_stamp / 1000
             self._runs[key] = run
-            reason = "outdated" if key in self._buried else refusal
+            # Another dispatcher, to which the job was sent before, used this number.
+            used = key in self._buried or key in self._ends
+            reason = "outdated" if used else refusal
             if reason:
                 self._end_here(run, EndKind.REFUSED, reason, now)
         return fresh
 
-    def _refusal(self, owner, message):
+    def _has_end(self, key, owner):
+        held = self._ends.get(key)
+        if held is None:
+            return False
+        return held.end.partition != TRANSIENT or held.owner == owner
+
+    def _refusal(self, owner, message, now):
+        if now * 1000 > message.valid_stamp:
+            return "held-up"
         if message.epoch < self._authority.epoch(message.partition):
             return "former-owner"
         if self.stopping:
--- a/packages/jobs/banyanwheel_jobs/runners.py
+++ b/packages/jobs/banyanwheel_jobs/runners.py
@@ -6,7 +6,7 @@
 
 __all__ = ["RunnerView"]
 
-SILENT_AFTER_S = 0.8  # three heartbeats
+SILENT_AFTER_S = 0.7  # three heartbeats
 FAILURE_MEMORY = 0.8  # weight of what was known before, at each end
 FAILING_SHARE = 0.5
 MIN_SLOWNESS = 0.2
@@ -30,6 +30,8 @@
     epochs: dict = field(default_factory=dict)
     trust: Trust = field(default_factory=Trust)
     outstanding: dict = field(default_factory=dict)
+    listed: set = field(default_factory=set)  # (task, run) of the last report
+    reported: tuple = ("", 0)  # incarnation and stamp of the last report
     failure_share: float = 0.0
     reopened_at: float = 0.0
 
@@ -68,11 +70,19 @@
             self.failure_share += 1 - FAILURE_MEMORY
 
     def reflect(self, report):
-        """Drops the orders that a report shows."""
-        if not self.outstanding:
-            return
-        for status in (*report.runs, *report.ends):
-            self.outstanding.pop((status.task, status.run), None)
+        """Notes what a report shows, and drops the orders among it."""
+        self.listed = {(status.task, status.run) for status in report.runs}
+        self.listed.update((end.task, end.run) for end in report.ends)
+        if self.outstanding:
+            for key in self.listed:
+                self.outstanding.pop(key, None)
+
+    def is_old(self, incarnation, stamp):
+        """Tells whether a report is older than the last one, and notes it if not."""
+        if self.reported[0] == incarnation and stamp < self.reported[1]:
+            return True
+        self.reported = (incarnation, stamp)
+        return False
 
     def room_for(self, resources):
         """Tells whether a task fits in what is left."""
--- /dev/null
+++ b/tests/jobs/world.py
@@ -0,0 +1,461 @@
+"""Owners, runners and workers without processes, over a network that a test controls.
+
+Time passes only when the world is told so. Messages wait in flight until they are
+delivered, in the order of their connection; a cut holds them up.
+"""
+
+from dataclasses import dataclass, field
+
+from banyanwheel_jobs.messages import Contact, EndsTaken, Report, StartTasks, StopTasks
+from banyanwheel_jobs.model import Queue, Resources, Step, Submission
+from banyanwheel_jobs.owner import Owner
+from banyanwheel_jobs.placement import Placement
+from banyanwheel_jobs.ports import (
+    Holdings,
+    KeyedRecord,
+    StartOutcome,
+    WorkerAnnouncement,
+    WorkerEnd,
+    WorkerRun,
+)
+from banyanwheel_jobs.runner import Runner
+from banyanwheel_jobs.runners import RunnerView
+
+PARTITIONS = 1
+LEASE_S = 1.0
+CONTACT_S = 0.2
+CAPACITY = Resources(2_000, 1_000, 0)
+TASK = Resources(1_000, 100, 0)
+QUEUE = Queue("counter", "desk", 0, 3, 1.6, 60)
+SERVICE = "desk"
+
+
+class Notes:
+    """Keeps what was noted."""
+
+    def __init__(self):
+        self.events = []
+        self.counts = {}
+
+    def __call__(self, event, **fields):
+        self.events.append((event, fields))
+
+    def count(self, name, reason, amount=1):
+        key = (name, str(reason))
+        self.counts[key] = self.counts.get(key, 0) + amount
+
+
+@dataclass
+class WorkerModel:
+    """A worker by its published behaviour, with the checks of an onlooker."""
+
+    world: object
+    name: str
+    life: int = 0
+    lease_until: float = 0.0
+    fence: int = 0
+    running: dict = field(default_factory=dict)  # end time by (task, run)
+    ended: list = field(default_factory=list)
+    over: dict = field(default_factory=dict)  # highest run over by task
+    number: int = 0
+    lapsed_at: float = 0.0
+    ended_at: dict = field(default_factory=dict)
+
+    @property
+    def incarnation(self):
+        return f"{self.name}@{self.life}"
+
+    @property
+    def clock_ms(self):
+        return round(self.world.now * 1000) + 1
+
+    def settle(self):
+        """Ends what is due."""
+        if self.lease_until < self.world.now:
+            self.lapsed_at = self.world.now
+        for key, end in sorted(self.running.items(), key=lambda item: item[1]):
+            if min(end, self.lease_until) <= self.world.now:
+                self._end(key, "done" if end <= self.lease_until else "lapsed")
+
+    def _end(self, key, kind):
+        del self.running[key]
+        self.number += 1
+        self.over[key[0]] = max(self.over.get(key[0], 0), key[1])
+        self.ended.append(WorkerEnd(self.number, *key, kind, ""))
+        self.ended_at[self.number] = self.world.now
+        self.world.saw_end(self, key, kind)
+
+    def start(self, run, deadline_ms, fence, run_s):
+        self.settle()
+        key = run.key
+        if fence < self.fence:
+            return StartOutcome.FENCED
+        self.fence = fence
+        if key in self.running:
+            return StartOutcome.STARTED
+        if self.over.get(key[0], 0) >= key[1]:
+            return StartOutcome.OUTDATED
+        if deadline_ms <= self.clock_ms:
+            return StartOutcome.LATE
+        self._extend(deadline_ms)
+        self.running[key] = self.world.now + run_s
+        self.world.saw_start(self, key)
+        return StartOutcome.STARTED
+
+    def stop(self, key, fence):
+        self.settle()
+        if fence >= self.fence and key in self.running:
+            self._end(key, "stopped")
+
+    def hold(self, fence, acknowledged, deadline_ms):
+        self.settle()
+        if fence < self.fence:
+            return None
+        self.fence = fence
+        for end in self.ended:
+            if end.number <= acknowledged:
+                self.world.saw_taken(self, end)
+        self.ended = [end for end in self.ended if end.number > acknowledged]
+        self._extend(deadline_ms)
+        running = tuple(WorkerRun(*key, "", 50) for key in self.running)
+        return Holdings(self.clock_ms, self.incarnation, running, tuple(self.ended))
+
+    def _extend(self, deadline_ms):
+        most = self.world.now + LEASE_S
+        asked = self.world.now + (deadline_ms - self.clock_ms) / 1000
+        self.lease_until = max(self.lease_until, min(most, asked))
+
+    def crash(self):
+        self.world.lost_worker(self)
+        self.life += 1
+        self.fence = self.number = 0
+        self.running, self.ended, self.over, self.ended_at = {}, [], {}, {}
+        self.lease_until = 0.0
+
+    def announcement(self, draining=False):
+        return WorkerAnnouncement(
+            worker_id=self.name,
+            incarnation=self.incarnation,
+            born_ms=self.life,
+            service=SERVICE,
+            address="",
+            draining=draining,
+            capacity=CAPACITY,
+            labels=("a", "r1"),
+            sequence=self.world.tick_number,
+            clock_ms=self.clock_ms,
+        )
+
+
+@dataclass
+class LogModel:
+    """One partition of the log, and who it is dealt to."""
+
+    epoch: int = 0
+    generation: int = 0
+    dealt_to: str = ""
+    records: dict = field(default_factory=dict)
+
+    def deal(self, owner):
+        self.generation += 1
+        self.dealt_to = owner
+
+    def append(self, epoch, records):
+        if epoch < self.epoch:
+            return False
+        self.epoch = epoch
+        for key, value in records:
+            if value is None:
+                self.records.pop(key, None)
+            else:
+                self.records[key] = value
+        return True
+
+
+@dataclass
+class Link:
+    """Messages on their way between an owner and a runner, in order."""
+
+    messages: list = field(default_factory=list)
+    cut: bool = False
+
+
+class World:
+    """Some owners, some runners with a worker each."""
+
+    def __init__(self, owners=2, runners=2, run_s=0.12):
+        self.now = 100.0
+        self.tick_number = 1
+        self.run_s = run_s
+        self.notes = Notes()
+        self.workers = {}
+        self.runners = {}
+        self.owners = {}
+        self.links = {}
+        self.running = {}  # workers by task, as an onlooker sees it
+        self.faults = []
+        self.replies = {}
+        self.generations = {}
+        self.starts = {}  # times by task
+        self.done = set()  # tasks with a run that ended done
+        self.taken_done = set()
+        self.log = LogModel()
+        self.away_from_log = set()
+        self.claims = {}
+        for number in range(runners):
+            name = f"runner-{number}"
+            self.workers[name] = WorkerModel(self, name)
+            self.start_runner(name)
+        for number in range(owners):
+            self.start_owner(f"owner-{number}")
+
+    # Processes
+
+    def start_owner(self, name):
+        self.generations[name] = self.generations.get(name, 0) + 1
+        owner = Owner(
+            PARTITIONS,
+            Placement("dc", 1.5),
+            retention_s=60,
+            wall_ms=lambda: round(self.now * 1000),
+            send=lambda runner, message: self._send(name, runner, message),
+            store=lambda partition: None,
+            note=self.notes,
+        )
+        for runner in self.runners:
+            owner.views[runner] = RunnerView(runner, "dc")
+            self.links[name, runner] = Link()
+            self.links[runner, name] = Link()
+        self.owners[name] = owner
+        self.claims[name] = ()
+
+    def start_runner(self, name):
+        self.generations[name] = self.generations.get(name, 0) + 1
+        runner = Runner(PARTITIONS, LEASE_S, self.notes)
+        self.runners[name] = runner
+        runner.announce(self.workers[name].announcement(), self.now)
+
+    def incarnation(self, name):
+        return f"{name}#{self.generations[name]}"
+
+    # Network
+
+    def _send(self, sender, recipient, message):
+        self.links[sender, recipient].messages.append(
+            (self.incarnation(sender), self._addressee(sender, recipient), message)
+        )
+
+    def _addressee(self, sender, recipient):
+        if sender in self.owners:
+            return self.owners[sender].views[recipient].incarnation
+        return ""
+
+    def deliver(self, sender, recipient, limit=None):
+        link = self.links[sender, recipient]
+        if link.cut:
+            return
+        count = len(link.messages) if limit is None else limit
+        for _ in range(min(count, len(link.messages))):
+            from_incarnation, to, message = link.messages.pop(0)
+            if to and to != self.incarnation(recipient):
+                continue
+            self._receive(sender, from_incarnation, recipient, message)
+
+    def _receive(self, sender, incarnation, recipient, message):
+        if isinstance(message, Report):
+            owner = self.owners[recipient]
+            view = owner.views[sender]
+            if view.incarnation not in ("", incarnation):
+                view.trust.forget()
+            view.trust.receive(message.stamp, self.now)
+            owner.take_report(view, incarnation, message, self.now)
+            owner.dispatch(self.now)
+            return
+        runner = self.runners[recipient]
+        origin = (sender, incarnation)
+        match message:
+            case Contact():
+                if message.runner != self.incarnation(recipient):
+                    message = Contact(message.claims, 0, 0, message.runner)
+                runner.take_contact(origin, message, self.now)
+                self._report(recipient, sender)
+            case StartTasks():
+                runner.take_start(origin, message, self.now)
+            case StopTasks():
+                runner.take_stop(origin, message, self.now)
+            case EndsTaken():
+                runner.take_ends_taken(message, self.now)
+        self.work(recipient)
+
+    def _report(self, runner, owner):
+        origin = (owner, self.incarnation(owner))
+        self._send(runner, owner, self.runners[runner].report(origin, self.now))
+
+    # The runner's door to its worker
+
+    def work(self, name, lose_start=False):
+        """Starts and stops what is due, and looks at the worker's lists."""
+        runner, worker = self.runners[name], self.workers[name]
+        for run in runner.starts_due(self.now):
+            outcome = worker.start(
+                run, runner.deadline_ms(self.now), runner.fence, self.run_s
+            )
+            if lose_start:
+                runner.start_unanswered(run, self.now)
+            else:
+                runner.start_answered(run, outcome, self.now)
+        for run in runner.stops_due(self.now):
+            worker.stop(run.key, runner.fence)
+        if runner.watching and runner.holds_lease:
+            fence, acknowledged = runner.fence, runner.acknowledged
+            lists = worker.hold(fence, acknowledged, runner.deadline_ms(self.now))
+            if lists is not None:
+                runner.take_holdings(lists, fence, acknowledged, self.now, self.now)
+
+    def step(self, seconds=0.05, frozen=()):
+        """Lets time pass; processes in ``frozen`` do nothing meanwhile."""
+        self.now += seconds
+        self.tick_number += 1
+        for worker in self.workers.values():
+            worker.settle()
+        for name, runner in self.runners.items():
+            if name not in frozen:
+                runner.tick(self.now)
+                self.work(name)
+        for name, owner in self.owners.items():
+            if name in frozen:
+                continue
+            self.renew(name)
+            owner.tick(self.now)
+            self.append(name)
+            if self.tick_number % round(CONTACT_S / 0.05) == 0:
+                self.contact(name)
+        self.exchange(frozen)
+
+    def contact(self, name):
+        for view in self.owners[name].views.values():
+            message = Contact(
+                self.claims[name], view.trust.stamp, view.trust.newest, view.incarnation
+            )
+            self.links[name, view.name].messages.append(
+                (self.incarnation(name), "", message)
+            )
+
+    def exchange(self, frozen=()):
+        """Delivers what is in flight, twice, so that answers arrive as well."""
+        for _ in range(2):
+            for sender, recipient in list(self.links):
+                if recipient not in frozen and sender not in frozen:
+                    self.deliver(sender, recipient)
+        for name in self.runners:
+            if name in frozen:
+                continue
+            for owner in self.owners:
+                self._report(name, owner)
+
+    def cut(self, one, other, cut=True):
+        self.links[one, other].cut = cut
+        self.links[other, one].cut = cut
+
+    # The log
+
+    def renew(self, name):
+        """Renews an owner's membership; opens or closes the partition."""
+        owner = self.owners[name]
+        if name in self.away_from_log:
+            return
+        for view in owner.views.values():
+            view.trust.renewal_sent()
+            view.trust.renewal_confirmed()
+        if self.log.dealt_to != name:
+            self.claims[name] = ()
+            owner.close(0, "dealt-elsewhere")
+        elif 0 not in owner.partitions:
+            epoch = self.log.generation
+            if self.log.append(epoch, []):
+                records = [
+                    KeyedRecord(key, value, 0)
+                    for key, value in self.log.records.items()
+                ]
+                now_ms = round(self.now * 1000)
+                owner.open(0, epoch, records, self.now, now_ms)
+        self.claims[name] = tuple(
+            (number, partition.epoch) for number, partition in owner.partitions.items()
+        )
+
+    def append(self, name):
+        """Carries out what an owner has queued for the log."""
+        owner = self.owners[name]
+        partition = owner.partitions.get(0)
+        if partition is None or name in self.away_from_log:
+            return
+        while batch := partition.journal.next_batch():
+            if not self.log.append(partition.epoch, batch.records):
+                owner.close(0, "fenced")
+                return
+            partition.journal.stored()
+
+    # Callers
+
+    def submit_stored(self, owner, job_id, tasks=2):
+        submission = Submission(
+            job_id,
+            QUEUE,
+            "text",
+            (Step(tasks, TASK, round(self.run_s * 1000)),),
+            round(self.now * 1000),
+        )
+        replies = self.replies.setdefault(job_id, [])
+        self.owners[owner].submit(submission, replies.append, self.now)
+
+    def state(self, job_id):
+        """Returns the outcome and the state that the partition's owner tells."""
+        answers = []
+        owner = self.owners[self.log.dealt_to]
+        owner.ask(job_id, answers.append)
+        return (answers[0].outcome, answers[0].state) if answers else None
+
+    def submit(self, owner, job_id, tasks=2, deadline_s=5.0):
+        submission = Submission(
+            job_id,
+            QUEUE,
+            "text",
+            (Step(tasks, TASK, round(self.run_s * 1000)),),
+            round(self.now * 1000),
+            transient=True,
+        )
+        replies = self.replies.setdefault(job_id, [])
+        self.owners[owner].run_transient(
+            submission, replies.append, self.now, self.now + deadline_s
+        )
+
+    # The onlooker
+
+    def saw_start(self, worker, key):
+        others = self.running.setdefault(key[0], set())
+        if others:
+            self.faults.append(f"{key[0]} runs on {others} and on {worker.name}")
+        others.add(worker.name)
+        self.starts.setdefault(key[0], []).append(self.now)
+        if key[0] in self.taken_done:
+            self.faults.append(f"{key[0]} starts after its end was taken")
+        room = len(worker.running) * TASK.cpu
+        if room > CAPACITY.cpu:
+            self.faults.append(f"{worker.name} holds {room} of {CAPACITY.cpu}")
+
+    def saw_end(self, worker, key, kind):
+        self.running.get(key[0], set()).discard(worker.name)
+        if kind == "done":
+            self.done.add(key[0])
+
+    def saw_taken(self, worker, end):
+        ended_at = worker.ended_at[end.number]
+        if end.kind != "done" or worker.lapsed_at > ended_at:
+            return
+        self.taken_done.add(end.task)
+        if any(started > ended_at for started in self.starts[end.task]):
+            self.faults.append(f"{end.task} was started after an end that is taken")
+
+    def lost_worker(self, worker):
+        for task, run in worker.running:
+            self.saw_end(worker, (task, run), "gone")
