--- a/tests/standins/process.py
+++ b/tests/standins/process.py
@@ -11,13 +11,16 @@
 
 STOP_TIMEOUT_S = 60
 ROOT = Path(__file__).resolve().parents[2]
-PACKAGES = [ROOT / "packages" / name for name in ("core", "daemon", "client")]
+PACKAGES = [
+    *(ROOT / "packages" / name for name in ("core", "jobs", "daemon", "client")),
+    ROOT / "platform",
+]
 
 
 class Process:
     """One child process; ``ready`` is the object of its ready line."""
 
-    def __init__(self, name, arguments, errors):
+    def __init__(self, name, arguments, errors, output=subprocess.PIPE):
         self.name = name
         self.ready = {}
         self._asked = False
@@ -27,7 +30,7 @@
                 [sys.executable, *arguments],
                 cwd=ROOT,
                 env=environment(),
-                stdout=subprocess.PIPE,
+                stdout=output,
                 stderr=stream,
                 text=True,
             )
@@ -92,7 +95,8 @@
         self.ask_to_stop()
         if self.wait() is None:
             self.kill()
-        self._child.stdout.close()
+        if self._child.stdout is not None:
+            self._child.stdout.close()
 
 
 def environment():
