--- a/packages/daemon/banyanwheel_daemon/caller_desk.py
+++ b/packages/daemon/banyanwheel_daemon/caller_desk.py
@@ -80,6 +80,13 @@
             job_id, queue, spec, steps, self._wall_ms(), transient=True
         )
         self._transient_open += 1
+        self._note(
+            "request:run",
+            job=job_id,
+            queue=queue.name,
+            tasks=sum(step.count for step in steps),
+            deadline_ms=round(deadline_s * 1000),
+        )
 
         def answered(answer):
             self._transient_open -= 1
--- a/packages/jobs/banyanwheel_jobs/ends.py
+++ b/packages/jobs/banyanwheel_jobs/ends.py
@@ -3,6 +3,7 @@
 from .job import TaskState
 from .messages import EndsTaken, StopTasks, TaskRun
 from .model import TRANSIENT, EndKind, JobState
+from .stragglers import is_straggling
 
 __all__ = ["EndHandling"]
 
@@ -48,12 +49,27 @@
         elif task.state is TaskState.PLACED:
             if (task.runner, task.run) != (view.name, status.run):
                 self._stop(partition, view, status, "placed-elsewhere")
+            elif not task.stopping:
+                self._check_progress(partition, job, task, view, status, now)
         elif status.run >= task.run:
             job.adopt(task, status.run, view.name, now)
             self._note("task:adopted", task=str(task.id), run=status.run)
         else:
             self._stop(partition, view, status, "outdated")
 
+    def _check_progress(self, partition, job, task, view, status, now):
+        """Stops a run that stands still or crawls; it is then placed elsewhere."""
+        expected_s = job.step_of(task).estimate_ms / 1000 * max(1.0, view.slowness)
+        age_s = status.age_ms / 1000
+        if not is_straggling(status.percent, age_s, expected_s, task.restarts):
+            return
+        task.stopping = True
+        task.restarts += 1
+        task.avoided.add(view.name)
+        view.suspect(now)
+        self._stop(partition, view, status, "straggling")
+        self._note.count("banyanwheel.stops", "straggling")
+
     def _stop(self, partition, view, status, reason):
         run = TaskRun(status.task, status.run)
         self._send(view.name, StopTasks(partition.number, partition.epoch, (run,)))
@@ -103,7 +119,7 @@
             task.checkpoint = end.checkpoint
         counted = end.kind in COUNTED_KINDS
         if counted:
-            view.note_end(end.kind is EndKind.FAILED)
+            view.note_end(end.kind is EndKind.FAILED, now)
         if counted and partition.number != TRANSIENT:
             if not job.unstored:
                 job.unstored_since = now
--- a/packages/jobs/banyanwheel_jobs/job.py
+++ b/packages/jobs/banyanwheel_jobs/job.py
@@ -36,6 +36,7 @@
     failed_runs: set = field(default_factory=set)
     stopping: bool = False
     unlisted_since: float | None = None
+    restarts: int = 0  # runs that were stopped as stragglers
     checkpoint: str = ""
     unsure_until: float = 0.0
     avoided: set = field(default_factory=set)
--- a/packages/jobs/banyanwheel_jobs/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owner.py
@@ -12,11 +12,12 @@
 
 from .authority import replacement_delay
 from .ends import EndHandling
+from .headroom import Headroom
 from .job import Job, TaskState
 from .messages import Order, StartTasks, StopTasks, TaskRun
 from .model import TRANSIENT, JobState, Submission, partition_of
 from .partition import EndedJob, Partition
-from .placement import rank
+from .placement import is_hopeless, rank
 from .records import Accepted, Ended, Progress, encode, job_key, progress_key
 
 __all__ = ["Outcome", "Owner", "Reply"]
@@ -29,7 +30,8 @@
 RESEND_S = 0.3  # an order that no report shows is sent again
 RETENTION_MARGIN_S = 30.0
 RETRY_AFTER_MS = 1_000  # the log is usually back, or the partition moved, by then
-MISFITS_PER_ROUND = 8  # jobs without a place that a round passes over
+SOUND_SHARE = 0.5  # of the runners, below which suspicion is not acted on
+MISFITS_PER_ROUND = 32  # jobs without a place that a round passes over
 
 
 class Outcome(StrEnum):
@@ -290,6 +292,17 @@
         for job in list(self._transient.jobs.values()):
             if now >= job.expires_at:
                 self.cancel_transient(job.id, "deadline")
+            elif job.state is JobState.QUEUED and is_hopeless(job, now):
+                self._refuse_transient(job)
+
+    def _refuse_transient(self, job):
+        """Refuses a job of which nothing has started and that would end too late."""
+        del self._transient.jobs[job.id]
+        self._waiting.discard(job)
+        self._note.count("banyanwheel.refusals", "too-late")
+        self._note("request:refused", job=job.id, reason="too-late")
+        for reply in job.on_final:
+            reply(Reply(Outcome.NOT_STORED, retry_ms=RETRY_AFTER_MS))
 
     # Ends
 
@@ -343,23 +356,35 @@
 
     def dispatch(self, now):
         """Places the tasks that may start, most urgent job first."""
-        views = [view for view in self._views.values() if view.usable(now)]
-        if not views or not self._waiting:
+        if not self._waiting:
             return
+        views = self._usable_views(now)
+        if not views:
+            return
+        headroom = Headroom.of(views)
         misfits = 0
         for job in sorted(self._waiting, key=lambda job: rank(job, now)):
-            if not self._place_job(job, views, now):
+            if not headroom.admits(job, now):
+                continue
+            if not self._place_job(job, views, headroom, now):
                 misfits += 1
                 if misfits >= MISFITS_PER_ROUND:
                     return
 
-    def _place_job(self, job, views, now):
+    def _usable_views(self, now):
+        """Returns the runners that may get tasks, sound ones where there are enough."""
+        usable = [view for view in self._views.values() if view.usable(now)]
+        sound = [view for view in usable if not view.suspected(now)]
+        # Where most seem unsound, the fault lies with the jobs.
+        return sound if len(sound) >= SOUND_SHARE * len(usable) else usable
+
+    def _place_job(self, job, views, headroom, now):
         """Places what it can of a job; returns False where a task found no room."""
         used = {}
         complete = True
         for task in list(job.startable(now)):
-            view = self._placement.choose(job, task, views, used)
-            if view is None:
+            view = self._placement.choose(job, task, views, used, now)
+            if view is None or not headroom.admits(job, now):
                 complete = False
                 break
             partition = self._partition(job.partition)
@@ -368,6 +393,7 @@
             order = Order(
                 task.id, task.run, step.resources, step.estimate_ms, task.checkpoint
             )
+            headroom.take(step.resources)
             view.outstanding[task.id, task.run] = _Sent(step.resources, None, now)
             used.setdefault(view, []).append(order)
         for view, orders in used.items():
--- a/packages/jobs/banyanwheel_jobs/placement.py
+++ b/packages/jobs/banyanwheel_jobs/placement.py
@@ -2,14 +2,14 @@
 
 from dataclasses import dataclass
 
-__all__ = ["Placement", "Rank", "rank"]
+__all__ = ["Placement", "Rank", "is_hopeless", "rank"]
 
 LATE_FACTOR = 3  # a job counts, as late, up to this many times its objective
 FAILED_HERE_FACTOR = 10.0  # a runner at which the task has failed is the last choice
-FAILING_FACTOR = 5.0
 OTHER_DATA_CENTRE_FACTOR = 1.02  # bytes between data centres are paid for
 SAME_JOB_FACTOR = 0.98  # the job's text travels once for each runner
 TIER_S = 1_000.0
+WAIT_FOR_FASTER_S = 1.0  # room is left nowhere unused for long
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -35,6 +35,13 @@
     return Rank(1, late) if now <= late else Rank(2, job.received_at)
 
 
+def is_hopeless(job, now):
+    """Tells whether a job that has not begun can't end in time to count, even late."""
+    chain_s = job.submission.chain_ms / 1000
+    late_until = job.received_at + LATE_FACTOR * job.submission.objective_ms / 1000
+    return now + chain_s > min(late_until, job.expires_at or late_until)
+
+
 class Placement:
     """Chooses the runner where a task is expected to end first."""
 
@@ -42,25 +49,28 @@
         self._data_centre = data_centre
         self._remote_rack_factor = remote_rack_factor
 
-    def choose(self, job, task, views, used):
-        """Returns the best of ``views`` with room, or None.
+    def choose(self, job, task, views, used, now):
+        """Returns the best of ``views`` with room, or None to wait.
 
         ``used`` are the runners that get other tasks of the job in this round.
         """
         step = job.step_of(task)
         service = job.submission.queue.service
-        best, least = None, float("inf")
+        best, least, fastest = None, float("inf"), float("inf")
         for view in views:
             if not self._allowed(job, task, step, view, service):
                 continue
             cost = self._cost(task, step, view, used)
-            if cost < least:
+            fastest = min(fastest, cost)
+            if cost < least and view.room_for(step.resources):
                 best, least = view, cost
+        if best is not None and _worth_waiting(job, step, least, fastest, now):
+            return None
         return best
 
     def _allowed(self, job, task, step, view, service):
         worker = view.worker
-        if worker.service != service or not view.room_for(step.resources):
+        if worker.service != service:
             return False
         if step.label and step.label not in worker.labels:
             return False
@@ -73,10 +83,17 @@
             cost *= self._remote_rack_factor
         if view.name in task.avoided:
             cost *= FAILED_HERE_FACTOR
-        if view.failing:
-            cost *= FAILING_FACTOR
         if view.data_centre != self._data_centre:
             cost *= OTHER_DATA_CENTRE_FACTOR
         if view in used:
             cost *= SAME_JOB_FACTOR
         return cost
+
+
+def _worth_waiting(job, step, least, fastest, now):
+    """Tells whether only a worker that is full now would end a task on time."""
+    if now - job.received_at > WAIT_FOR_FASTER_S:
+        return False
+    estimate_s = step.estimate_ms / 1000
+    limit = job.on_time_until
+    return now + estimate_s * least > limit >= now + estimate_s * fastest
--- a/packages/jobs/banyanwheel_jobs/runners.py
+++ b/packages/jobs/banyanwheel_jobs/runners.py
@@ -9,6 +9,9 @@
 SILENT_AFTER_S = 0.7  # three heartbeats
 FAILURE_MEMORY = 0.8  # weight of what was known before, at each end
 FAILING_SHARE = 0.5
+SUSPECT_S = (
+    2.0  # a worker whose runs fail or stand still gets no new ones for this long
+)
 MIN_SLOWNESS = 0.2
 MAX_SLOWNESS = 20.0
 
@@ -33,6 +36,7 @@
     listed: set = field(default_factory=set)  # (task, run) of the last report
     reported: tuple = ("", 0)  # incarnation and stamp of the last report
     failure_share: float = 0.0
+    suspect_until: float = 0.0
     reopened_at: float = 0.0
 
     def usable(self, now):
@@ -58,16 +62,21 @@
         known = self.worker.slowness or 1.0
         return min(MAX_SLOWNESS, max(MIN_SLOWNESS, known))
 
-    @property
-    def failing(self):
-        """Whether most of what was started there lately has failed."""
-        return self.failure_share > FAILING_SHARE
+    def suspected(self, now):
+        """Whether runs there have failed or stood still a short while ago."""
+        return now < self.suspect_until
+
+    def suspect(self, now):
+        """Notes that a run stands still there."""
+        self.suspect_until = now + SUSPECT_S
 
-    def note_end(self, failed):
+    def note_end(self, failed, now):
         """Takes an end into the share of failures."""
         self.failure_share *= FAILURE_MEMORY
         if failed:
             self.failure_share += 1 - FAILURE_MEMORY
+            if self.failure_share > FAILING_SHARE:
+                self.suspect(now)
 
     def reflect(self, report):
         """Notes what a report shows, and drops the orders among it."""
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -59,6 +59,8 @@
     over: dict = field(default_factory=dict)  # highest run over by task
     number: int = 0
     lapsed_at: float = 0.0
+    stuck: bool = False
+    lengths: dict = field(default_factory=dict)
     ended_at: dict = field(default_factory=dict)
 
     @property
@@ -74,6 +76,8 @@
         if self.lease_until < self.world.now:
             self.lapsed_at = self.world.now
         for key, end in sorted(self.running.items(), key=lambda item: item[1]):
+            if self.stuck and end <= self.lease_until:
+                continue
             if min(end, self.lease_until) <= self.world.now:
                 self._end(key, "done" if end <= self.lease_until else "lapsed")
 
@@ -99,6 +103,7 @@
             return StartOutcome.LATE
         self._extend(deadline_ms)
         self.running[key] = self.world.now + run_s
+        self.lengths[key] = run_s
         self.world.saw_start(self, key)
         return StartOutcome.STARTED
 
@@ -117,9 +122,15 @@
                 self.world.saw_taken(self, end)
         self.ended = [end for end in self.ended if end.number > acknowledged]
         self._extend(deadline_ms)
-        running = tuple(WorkerRun(*key, "", 50) for key in self.running)
+        running = tuple(WorkerRun(*key, "", self._percent(key)) for key in self.running)
         return Holdings(self.clock_ms, self.incarnation, running, tuple(self.ended))
 
+    def _percent(self, key):
+        if self.stuck:
+            return 0
+        left = max(0.0, self.running[key] - self.world.now)
+        return round(100 * (1 - left / self.lengths[key]))
+
     def _extend(self, deadline_ms):
         most = self.world.now + LEASE_S
         asked = self.world.now + (deadline_ms - self.clock_ms) / 1000
