Refuse what a stopping or cut-off dispatcher can't end, and tell canceled from given up

Change: from SIGTERM on, jobs that may not end in time are refused with a time to come back; canceled jobs end with 200 and stay canceled for late copies, at every dispatcher; without a usable runner for 0.5 s jobs are refused and the dispatcher is not ready.

--- a/packages/daemon/banyanwheel_daemon/caller_desk.py
+++ b/packages/daemon/banyanwheel_daemon/caller_desk.py
@@ -16,6 +16,7 @@
 ANSWER_MARGIN_S = 0.15  # the answer travels before the caller's deadline
 MIN_WAIT_S = 0.05
 RETRY_AFTER_MS = 1_000
+CLOSING_FACTOR = 2.0  # over a job's estimate, on the slowest workers
 PENDING_AGE_S = 1.9  # a count of another process may be this old
 
 
@@ -56,6 +57,7 @@
         self._requests = {}
         self._numbers = count(1)
         self._transient_open = 0
+        self._closes_at = float("inf")
         self.routing = None
 
     @property
@@ -79,7 +81,6 @@
         submission = Submission(
             job_id, queue, spec, steps, self._wall_ms(), transient=True
         )
-        self._transient_open += 1
         self._note(
             "request:run",
             job=job_id,
@@ -88,6 +89,13 @@
             deadline_ms=round(deadline_s * 1000),
         )
 
+        if now + CLOSING_FACTOR * submission.chain_ms / 1000 > self._closes_at:
+            self._note("request:refused", job=job_id, reason="dispatcher-stopping")
+            self._note.count("banyanwheel.refusals", "dispatcher-stopping")
+            reply(Reply(Outcome.NOT_STORED, retry_ms=RETRY_AFTER_MS))
+            return lambda: None
+        self._transient_open += 1
+
         def answered(answer):
             self._transient_open -= 1
             reply(answer)
@@ -110,7 +118,7 @@
 
     def cancel(self, job_id, reply, deadline_s):
         """Cancels a job, wherever it is."""
-        if self._owner.cancel_transient(job_id, "canceled"):
+        if self._owner.cancel_transient(job_id):
             reply(Reply(Outcome.STATE, JobState.CANCELED))
             return
         for address in self._counts:
@@ -215,12 +223,16 @@
             self._note.count("banyanwheel.refusals", reply.outcome)
         request.reply(reply)
 
+    def close_at(self, when):
+        """Refuses, from now on, transient jobs that may not end by then."""
+        self._closes_at = when
+
     def give_up_all(self):
         """Answers every open request, before the process ends."""
         for request in list(self._requests.values()):
             self._give_up(request)
         for job_id in list(self._owner.transient.jobs):
-            self._owner.cancel_transient(job_id, "dispatcher-stopping")
+            self._owner.give_up_transient(job_id, "dispatcher-stopping")
 
     # The owner's side
 
@@ -265,7 +277,7 @@
     def take_ask(self, address, ask):
         """Serves a request that another dispatcher passed on."""
         if ask.verb == "cancel-transient":
-            self._owner.cancel_transient(ask.job_id, "canceled")
+            self._owner.cancel_transient(ask.job_id)
             return
 
         def reply(answer):
--- a/packages/daemon/banyanwheel_daemon/dispatcher.py
+++ b/packages/daemon/banyanwheel_daemon/dispatcher.py
@@ -108,6 +108,7 @@
     async def _stop(self):
         started = boot_time()
         deadline = started + self.settings.process.grace_s - STOP_MARGIN_S
+        self._desk.close_at(deadline)
         await self._ownership.leave()
         self._contact()
         await self._members.remove(str(self.settings.process.address))
@@ -121,7 +122,11 @@
         self._peers.close(linger_ms=100)
 
     def _is_ready(self):
-        return self._desk.routing is not None and not self.stopping
+        return (
+            self._desk.routing is not None
+            and not self.stopping
+            and self._owner.reaches_runners(boot_time())
+        )
 
     def _configure(self, routing):
         self._desk.routing = routing
--- a/packages/jobs/banyanwheel_jobs/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owner.py
@@ -5,6 +5,7 @@
 and ``store(partition)``, and keeps what ``note(event, **fields)`` tells.
 """
 
+from collections import OrderedDict
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -29,6 +30,8 @@
 UNLISTED_S = 0.5  # a run that its runner's reports lack for this long is not there
 RESEND_S = 0.3  # an order that no report shows is sent again
 RETENTION_MARGIN_S = 30.0
+UNREACHED_S = 0.5  # without a usable runner, jobs are refused
+CANCELED_KEPT = 5_000  # far above the jobs canceled within their deadlines
 RETRY_AFTER_MS = 1_000  # the log is usually back, or the partition moved, by then
 SOUND_SHARE = 0.5  # of the runners, below which suspicion is not acted on
 MISFITS_PER_ROUND = 32  # jobs without a place that a round passes over
@@ -90,6 +93,8 @@
         self._transient = Partition.transient(0.0)
         self._views = {}
         self._waiting = set()  # jobs that may have tasks to place
+        self._reached_at = float("-inf")  # when a runner could be used
+        self._canceled = OrderedDict()  # ids of transient jobs that callers canceled
 
     @property
     def partitions(self):
@@ -234,9 +239,18 @@
 
     # Transient jobs
 
+    def reaches_runners(self, now):
+        """Whether any runner could be used a short while ago."""
+        if any(view.usable(now) for view in self._views.values()):
+            self._reached_at = now
+        return now - self._reached_at < UNREACHED_S
+
     def run_transient(self, submission, reply, now, expires_at):
         """Runs a job that is not stored; the reply comes at its end."""
         job_id = submission.job_id
+        if job_id in self._canceled:
+            reply(Reply(Outcome.STATE, JobState.CANCELED))
+            return
         if job_id in self._transient.closing:
             # Runs of an earlier attempt must be over first.
             self._transient.closing[job_id].successor = lambda: self.run_transient(
@@ -259,16 +273,31 @@
             return
         job.on_final.remove(reply)
         if not job.on_final:
-            self.cancel_transient(job_id, "caller-left")
+            self.give_up_transient(job_id, "caller-left")
+
+    def cancel_transient(self, job_id):
+        """Cancels a transient job for its caller; returns whether there was one.
 
-    def cancel_transient(self, job_id, reason):
-        """Cancels a transient job; returns whether there was one."""
+        A copy of the job that arrives later is not run either.
+        """
+        self._canceled[job_id] = True
+        if len(self._canceled) > CANCELED_KEPT:
+            self._canceled.popitem(last=False)
         job = self._transient.jobs.get(job_id)
         if job is None:
             return False
-        self._end_transient(job, JobState.CANCELED, reason)
+        self._end_transient(job, JobState.CANCELED, "canceled")
         return True
 
+    def give_up_transient(self, job_id, reason):
+        """Stops a transient job whose caller has to hand it in again."""
+        job = self._transient.jobs.get(job_id)
+        if job is not None:
+            replies, job.on_final = job.on_final, []
+            self._end_transient(job, JobState.CANCELED, reason)
+            for reply in replies:
+                reply(Reply(Outcome.IN_DOUBT))
+
     def _end_transient(self, job, state, reason=""):
         del self._transient.jobs[job.id]
         self._waiting.discard(job)
@@ -291,16 +320,24 @@
     def _expire_transient(self, now):
         for job in list(self._transient.jobs.values()):
             if now >= job.expires_at:
-                self.cancel_transient(job.id, "deadline")
-            elif job.state is JobState.QUEUED and is_hopeless(job, now):
-                self._refuse_transient(job)
-
-    def _refuse_transient(self, job):
-        """Refuses a job of which nothing has started and that would end too late."""
+                self.give_up_transient(job.id, "deadline")
+            elif job.state is JobState.QUEUED:
+                if is_hopeless(job, now):
+                    self._refuse_transient(job, "too-late", now)
+                elif not self.reaches_runners(now):
+                    self._refuse_transient(job, "no-runner", now)
+
+    def _refuse_transient(self, job, reason, now):
+        """Refuses a job of which nothing has started."""
         del self._transient.jobs[job.id]
         self._waiting.discard(job)
-        self._note.count("banyanwheel.refusals", "too-late")
-        self._note("request:refused", job=job.id, reason="too-late")
+        self._note.count("banyanwheel.refusals", reason)
+        self._note(
+            "request:refused",
+            job=job.id,
+            reason=reason,
+            waited_ms=round((now - job.received_at) * 1000),
+        )
         for reply in job.on_final:
             reply(Reply(Outcome.NOT_STORED, retry_ms=RETRY_AFTER_MS))
 
--- /dev/null
+++ b/tests/daemon/test_caller_desk.py
@@ -0,0 +1,69 @@
+import pytest
+
+from banyanwheel_daemon.caller_desk import CallerDesk
+from banyanwheel_jobs.model import Queue, Resources, Step
+from banyanwheel_jobs.owner import Outcome, Owner
+from banyanwheel_jobs.placement import Placement
+
+QUEUE = Queue("counter", "desk", 0, 3, 1.6, 60)
+NOW = 100.0
+
+
+class Notes:
+    def __call__(self, event, **fields):
+        pass
+
+    def count(self, name, reason, amount=1):
+        pass
+
+
+@pytest.fixture
+def desk():
+    owner = Owner(
+        4,
+        Placement("dc", 1.5),
+        retention_s=60,
+        wall_ms=lambda: 0,
+        send=None,
+        store=None,
+        note=Notes(),
+    )
+    clocks = (lambda: NOW, lambda: 0)
+    return CallerDesk(owner, 4, clocks, Notes(), send=None, ownership=None)
+
+
+def submit(desk, estimate_ms):
+    replies = []
+    steps = (Step(1, Resources(1_000), estimate_ms),)
+    leave = desk.run("a" * 16, QUEUE, "", steps, replies.append, 5.0)
+    return replies, leave
+
+
+def test_a_stopping_dispatcher_takes_no_job_that_it_can_not_end(desk):
+    """Seen in a hunt: mix --seed 165548887919 of magridge-ops, rule LOST."""
+    desk.close_at(NOW + 1.0)
+    replies, _ = submit(desk, estimate_ms=1_800)
+    assert [reply.outcome for reply in replies] == [Outcome.NOT_STORED]
+    assert replies[0].retry_ms > 0
+    assert desk.open_requests == 0
+
+
+def test_a_stopping_dispatcher_still_takes_short_jobs(desk):
+    desk.close_at(NOW + 1.0)
+    replies, _ = submit(desk, estimate_ms=120)
+    assert replies == []
+    assert desk.open_requests == 1
+
+
+def test_open_requests_are_answered_before_the_process_ends(desk):
+    replies, _ = submit(desk, estimate_ms=120)
+    desk.give_up_all()
+    assert [reply.outcome for reply in replies] == [Outcome.IN_DOUBT]
+    assert desk.open_requests == 0
+
+
+def test_a_caller_that_leaves_is_not_counted_any_more(desk):
+    replies, leave = submit(desk, estimate_ms=120)
+    leave()
+    assert desk.open_requests == 0
+    assert replies == []
