Log every decision that touches a job within a budget, never wait for the logs' reader, and time requests

Lines on failures, refusals, ownership and suspicion are always written; others up to 300 a second and process, with a count of what was left out. Histograms of requests by queue and outcome and of starts, gauges of jobs, runs, partitions and room.

--- a/packages/daemon/banyanwheel_daemon/caller_desk.py
+++ b/packages/daemon/banyanwheel_daemon/caller_desk.py
@@ -98,6 +98,12 @@
 
         def answered(answer):
             self._transient_open -= 1
+            self._note.observe(
+                "banyanwheel.request.duration",
+                self._now() - now,
+                queue=queue.name,
+                outcome=str(answer.state or answer.outcome),
+            )
             reply(answer)
 
         self._owner.run_transient(submission, answered, now, now + deadline_s)
--- a/packages/daemon/banyanwheel_daemon/dispatcher.py
+++ b/packages/daemon/banyanwheel_daemon/dispatcher.py
@@ -92,6 +92,7 @@
     async def serve(self):
         """Runs until asked to stop."""
         process = self.settings.process
+        self._register_gauges()
         self._peers = Peers(process.address, self._receive, boot_time)
         self._callers.listen(self.settings.callers.listen)
         self.listen_ready(self.settings.callers.ready, self._is_ready)
@@ -105,6 +106,16 @@
         await self.stop_asked()
         await self._stop()
 
+    def _register_gauges(self):
+        owner, desk = self._owner, self._desk
+        gauge = self.metrics.gauge
+        gauge("banyanwheel.partitions", lambda: len(owner.partitions))
+        gauge("banyanwheel.jobs.transient", lambda: len(owner.transient.jobs))
+        gauge("banyanwheel.jobs.pending", lambda: sum(owner.pending.values()))
+        gauge("banyanwheel.requests.open", lambda: desk.open_requests)
+        gauge("banyanwheel.runners.usable", lambda: owner.usable_runners(boot_time()))
+        gauge("banyanwheel.room.free.millicores", lambda: owner.free_cpu(boot_time()))
+
     async def _stop(self):
         started = boot_time()
         deadline = started + self.settings.process.grace_s - STOP_MARGIN_S
--- a/packages/daemon/banyanwheel_daemon/logs.py
+++ b/packages/daemon/banyanwheel_daemon/logs.py
@@ -3,13 +3,14 @@
 The id of a job is also the id of its eliot task, so no message has to carry one.
 """
 
+import os
 import sys
 import zlib
 from enum import IntEnum
 
 from eliot import Action, FileDestination, add_destinations, remove_destination
 
-__all__ = ["Branch", "JsonLines", "continue_job"]
+__all__ = ["Branch", "JsonLines", "LossyStream", "continue_job"]
 
 
 class Branch(IntEnum):
@@ -20,6 +21,36 @@
     EXECUTOR = 3
 
 
+class LossyStream:
+    """Writes to a descriptor without ever waiting for its reader.
+
+    What does not fit is dropped by whole lines; ``lost`` counts them.
+    """
+
+    def __init__(self, descriptor):
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._rest = b""  # the end of a line that was written in part
+        self.lost = 0
+
+    def write(self, line):
+        """Writes a line of bytes, or drops it."""
+        data = self._rest + line
+        try:
+            written = os.write(self._descriptor, data)
+        except BlockingIOError:
+            self.lost += 1
+            return
+        rest = data[written:]
+        # Without a line break at the cut, the rest must follow before other lines.
+        self._rest = b"" if data[:written].endswith(b"\n") else rest
+        if rest and not self._rest:
+            self.lost += 1
+
+    def flush(self):
+        """Does nothing: nothing is kept back on purpose."""
+
+
 class JsonLines:
     """Writes each log message as one line of JSON to a file or stream."""
 
--- a/packages/daemon/banyanwheel_daemon/metrics.py
+++ b/packages/daemon/banyanwheel_daemon/metrics.py
@@ -5,6 +5,7 @@
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import (
     CollectorRegistry,
@@ -17,6 +18,10 @@
 __all__ = ["REFUSALS", "Metrics"]
 
 REFUSALS = "banyanwheel.refusals"
+# Bounds in seconds, from a hop between processes to the longest deadlines.
+_DURATIONS = ExplicitBucketHistogramAggregation(
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 2, 4, 8, 16]
+)
 
 
 class Metrics:
@@ -26,6 +31,7 @@
 
     def __init__(self, process, role):
         self._counters = {}
+        self._histograms = {}
         self._totals = Counter()
         self._registry = CollectorRegistry()
         ProcessCollector(registry=self._registry)
@@ -34,6 +40,7 @@
             {"service.name": f"banyanwheel-{role}", "service.instance.id": process}
         )
         self._provider = MeterProvider(
+            views=[View(instrument_name="*.duration", aggregation=_DURATIONS)],
             metric_readers=[PrometheusMetricReader(registry=self._registry)],
             resource=resource,
             shutdown_on_exit=False,
@@ -54,6 +61,14 @@
         """The counters as a mapping of (name, reason) to a count."""
         return dict(self._totals)
 
+    def observe(self, name, seconds, **attributes):
+        """Adds a duration in seconds to the histogram ``name``."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = self._meter.create_histogram(name, unit="s")
+            self._histograms[name] = histogram
+        histogram.record(seconds, attributes)
+
     def gauge(self, name, read, unit=""):
         """Registers a gauge whose value is ``read()`` at each rendering."""
         self._meter.create_observable_gauge(
--- a/packages/daemon/banyanwheel_daemon/notes.py
+++ b/packages/daemon/banyanwheel_daemon/notes.py
@@ -4,8 +4,8 @@
 
 __all__ = ["Notes"]
 
-ROUTINE_LINES_PER_S = 50  # bounds the processor time of logging under load
-# Lines that are kept whatever the load: they change what the process believes.
+ROUTINE_LINES_PER_S = 300  # about 1% of a core; a steady day has half of that
+# Lines that are kept whatever the load: failures, refusals, what a process believes.
 _ALWAYS = (
     "process:",
     "partition:",
@@ -13,8 +13,15 @@
     "log:",
     "configuration:",
     "runner:",
+    "heartbeat:",
     "request:refused",
+    "request:invalid",
+    "task:released",
+    "task:retry",
+    "task:stopped",
     "task:superseded",
+    "run:doubtful",
+    "run:unauthorized",
 )
 
 
@@ -38,6 +45,10 @@
         """Adds to a counter under a reason."""
         self._metrics.count(name, reason, amount)
 
+    def observe(self, name, seconds, **attributes):
+        """Adds a duration to a histogram."""
+        self._metrics.observe(name, seconds, **attributes)
+
     def _within_budget(self):
         second = int(self._clock())
         if second != self._second:
--- a/packages/daemon/banyanwheel_daemon/role.py
+++ b/packages/daemon/banyanwheel_daemon/role.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import gc
+import io
 import signal
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 
 from .clocks import boot_time
-from .logs import JsonLines
+from .logs import JsonLines, LossyStream
 from .metrics import Metrics
 from .notes import Notes
 from .status import ExitStatus
@@ -36,7 +37,7 @@
     def run(role, settings, env):
         """Runs a role's class until it is asked to stop; returns an ExitStatus."""
         gc.set_threshold(GC_THRESHOLD)
-        lines = JsonLines(env.stdout)
+        lines = JsonLines(_log_stream(env.stdout))
         lines.start()
         try:
             asyncio.run(_run(role, settings, env))
@@ -122,6 +123,14 @@
         self.note("process:stopped", role=self._name)
 
 
+def _log_stream(stdout):
+    """Returns a stream that drops lines where writing would block."""
+    try:
+        return LossyStream(stdout.fileno())
+    except (AttributeError, io.UnsupportedOperation):
+        return stdout
+
+
 async def _run(role, settings, env):
     process = role(settings, env)
     process.start()
--- a/packages/daemon/banyanwheel_daemon/runner.py
+++ b/packages/daemon/banyanwheel_daemon/runner.py
@@ -52,6 +52,8 @@
     async def serve(self):
         """Runs until asked to stop."""
         process = self.settings.process
+        self.metrics.gauge("banyanwheel.runs", lambda: self._runner.held)
+        self.metrics.gauge("banyanwheel.ends.untaken", lambda: self._runner.untaken)
         self._peers = Peers(process.address, self._receive, boot_time)
         self._heartbeats.listen(self.settings.worker.heartbeats)
         member = Member(RUNNER, process.data_centre)
@@ -164,6 +166,7 @@
             outcome=outcome.value,
             waited_ms=round((now - run.queued_at) * 1000),
         )
+        self.note.observe("banyanwheel.run.start.duration", now - run.queued_at)
         before = self._runner.version
         self._runner.start_answered(run, outcome, now)
         self._wake.set()
--- a/packages/jobs/banyanwheel_jobs/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owner.py
@@ -464,6 +464,16 @@
                 chosen,
             )
 
+        self._note(
+            "task:placed",
+            job=job.id,
+            runner=view.name,
+            runs=[f"{order.task}#{order.run}" for order in orders],
+            slack_ms=round(urgency * 1000),
+            report_age_ms=round((now - view.heard_at) * 1000),
+            free_cpu=view.free.cpu,
+            slowness=round(view.slowness, 2),
+        )
         self._send(view.name, message(tuple(orders)))
         for order in orders:
             sent = view.outstanding[order.task, order.run]
@@ -553,6 +563,15 @@
         if job.live:
             self._waiting.add(job)
 
+    def usable_runners(self, now):
+        """Returns how many runners may get tasks."""
+        return sum(view.usable(now) for view in self._views.values())
+
+    def free_cpu(self, now):
+        """Returns the room of the usable runners, in thousandths of a core."""
+        views = [view for view in self._views.values() if view.usable(now)]
+        return sum(max(0, view.free.cpu) for view in views)
+
     def has_runs(self, runner):
         """Whether tasks are placed at a runner."""
         return any(
--- a/packages/jobs/banyanwheel_jobs/runner.py
+++ b/packages/jobs/banyanwheel_jobs/runner.py
@@ -87,6 +87,16 @@
             or any(run.on_worker for run in self._runs.values())
         )
 
+    @property
+    def held(self):
+        """The number of runs that wait, run or are being stopped."""
+        return len(self._runs)
+
+    @property
+    def untaken(self):
+        """The number of ends that their owners have not taken."""
+        return len(self._ends)
+
     @property
     def busy(self):
         """Whether anything runs, waits, or has ended without being taken."""
--- a/tests/daemon/test_caller_desk.py
+++ b/tests/daemon/test_caller_desk.py
@@ -16,6 +16,9 @@
     def count(self, name, reason, amount=1):
         pass
 
+    def observe(self, name, seconds, **attributes):
+        pass
+
 
 @pytest.fixture
 def desk():
