--- a/packages/daemon/banyanwheel_daemon/caller_desk.py
+++ b/packages/daemon/banyanwheel_daemon/caller_desk.py
@@ -6,7 +6,7 @@
 
 from banyanwheel_jobs.messages import Answer, Ask
 from banyanwheel_jobs.model import JobState, Submission, partition_of
-from banyanwheel_jobs.owner import Outcome, Reply
+from banyanwheel_jobs.outcomes import RETRY_AFTER_MS, Outcome, Reply
 
 __all__ = ["CallerDesk"]
 
@@ -15,7 +15,6 @@
 UNOWNED_SUBMIT_S = 0.5  # a job that nobody can store is refused early
 ANSWER_MARGIN_S = 0.15  # the answer travels before the caller's deadline
 MIN_WAIT_S = 0.05
-RETRY_AFTER_MS = 1_000
 CLOSING_FACTOR = 2.0  # over a job's estimate, on the slowest workers
 PENDING_AGE_S = 1.9  # a count of another process may be this old
 
--- a/packages/jobs/banyanwheel_jobs/messages.py
+++ b/packages/jobs/banyanwheel_jobs/messages.py
@@ -178,7 +178,7 @@
 
 
 class Answer(_Message):
-    """The outcome of an :class:`Ask`: see :class:`banyanwheel_jobs.owner.Outcome`."""
+    """The outcome of an :class:`Ask`: see :class:`banyanwheel_jobs.outcomes.Outcome`."""
 
     number: int
     outcome: str
--- a/packages/jobs/banyanwheel_jobs/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owner.py
@@ -6,67 +6,25 @@
 """
 
 from collections import OrderedDict
-from dataclasses import dataclass
-from enum import StrEnum
-
-import msgspec
 
 from .authority import replacement_delay
+from .dispatching import Dispatching
 from .ends import EndHandling
-from .headroom import Headroom
-from .job import Job, TaskState
-from .messages import Order, StartTasks, StopTasks, TaskRun
+from .job import Job
+from .messages import StopTasks, TaskRun
 from .model import TRANSIENT, JobState, Submission, partition_of
+from .outcomes import RETRY_AFTER_MS, Outcome, Reply
 from .partition import EndedJob, Partition
-from .placement import is_hopeless, rank
-from .records import Accepted, Ended, Progress, encode, job_key, progress_key
+from .records import Accepted, Ended, encode, job_key, progress_key
+from .supervision import Supervision
+from .transient import TransientJobs
 
-__all__ = ["Outcome", "Owner", "Reply"]
+__all__ = ["Owner"]
 
-PROGRESS_DELAY_S = 1.5  # ends wait this long for the job's own end; RULES allow 4 s
-# An order is void well before its owner gives a silent runner up and places the task
-# elsewhere: SILENT_AFTER_S and this are less than TRANSIENT_AUTHORITY_S.
-ORDER_LIFE_S = 0.35
-UNLISTED_S = 0.5  # a run that its runner's reports lack for this long is not there
-RESEND_S = 0.3  # an order that no report shows is sent again
 RETENTION_MARGIN_S = 30.0
-UNREACHED_S = 0.5  # without a usable runner, jobs are refused
-CANCELED_KEPT = 5_000  # far above the jobs canceled within their deadlines
-RETRY_AFTER_MS = 1_000  # the log is usually back, or the partition moved, by then
-SOUND_SHARE = 0.5  # of the runners, below which suspicion is not acted on
-MISFITS_PER_ROUND = 32  # jobs without a place that a round passes over
-
-
-class Outcome(StrEnum):
-    """What came of a caller's request."""
-
-    ACCEPTED = "accepted"
-    STATE = "state"
-    UNKNOWN_JOB = "unknown-job"
-    NOT_STORED = "not-stored"  # it will never run
-    IN_DOUBT = "in-doubt"  # it may be stored
-    NOT_OWNER = "not-owner"
-
-
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """An outcome, with the job's state where there is one."""
-
-    outcome: Outcome
-    state: str = ""
-    retry_ms: int = 0
 
 
-@dataclass(slots=True)
-class _Sent:
-    """An order that no report has shown yet."""
-
-    resources: object
-    message: StartTasks
-    sent_at: float
-
-
-class Owner(EndHandling):
+class Owner(EndHandling, TransientJobs, Dispatching, Supervision):
     """The jobs of some partitions, and the runners that they are placed at."""
 
     def __init__(
@@ -237,110 +195,6 @@
             if job.live:
                 self._end_job(partition, job, JobState.CANCELED, "canceled")
 
-    # Transient jobs
-
-    def reaches_runners(self, now):
-        """Whether any runner could be used a short while ago."""
-        if any(view.usable(now) for view in self._views.values()):
-            self._reached_at = now
-        return now - self._reached_at < UNREACHED_S
-
-    def run_transient(self, submission, reply, now, expires_at):
-        """Runs a job that is not stored; the reply comes at its end."""
-        job_id = submission.job_id
-        if job_id in self._canceled:
-            reply(Reply(Outcome.STATE, JobState.CANCELED))
-            return
-        if job_id in self._transient.closing:
-            # Runs of an earlier attempt must be over first.
-            self._transient.closing[job_id].successor = lambda: self.run_transient(
-                submission, reply, now, expires_at
-            )
-            return
-        job = self._transient.jobs.get(job_id)
-        if job is None:
-            job = Job.from_submission(submission, TRANSIENT, 0, now)
-            self._transient.jobs[job_id] = job
-            self._waiting.add(job)
-        job.expires_at = max(job.expires_at or expires_at, expires_at)
-        job.on_final.append(reply)
-        self.dispatch(now)
-
-    def leave_transient(self, job_id, reply):
-        """Ends a caller's waiting; the job is canceled when nobody waits any more."""
-        job = self._transient.jobs.get(job_id)
-        if job is None or reply not in job.on_final:
-            return
-        job.on_final.remove(reply)
-        if not job.on_final:
-            self.give_up_transient(job_id, "caller-left")
-
-    def cancel_transient(self, job_id):
-        """Cancels a transient job for its caller; returns whether there was one.
-
-        A copy of the job that arrives later is not run either.
-        """
-        self._canceled[job_id] = True
-        if len(self._canceled) > CANCELED_KEPT:
-            self._canceled.popitem(last=False)
-        job = self._transient.jobs.get(job_id)
-        if job is None:
-            return False
-        self._end_transient(job, JobState.CANCELED, "canceled")
-        return True
-
-    def give_up_transient(self, job_id, reason):
-        """Stops a transient job whose caller has to hand it in again."""
-        job = self._transient.jobs.get(job_id)
-        if job is not None:
-            replies, job.on_final = job.on_final, []
-            self._end_transient(job, JobState.CANCELED, reason)
-            for reply in replies:
-                reply(Reply(Outcome.IN_DOUBT))
-
-    def _end_transient(self, job, state, reason=""):
-        del self._transient.jobs[job.id]
-        self._waiting.discard(job)
-        job.state = state
-        self._note("job:ended", job=job.id, state=state, reason=reason)
-        placed = job.placed()
-        if placed:
-            self._transient.closing[job.id] = job
-            self._stop_runs(self._transient, placed)
-        for reply in job.on_final:
-            reply(Reply(Outcome.STATE, state))
-
-    def close_transient(self, job):
-        """Forgets a job that has ended once it has no run left."""
-        if self._transient.closing.get(job.id) is job and not job.placed():
-            del self._transient.closing[job.id]
-            if job.successor:
-                job.successor()
-
-    def _expire_transient(self, now):
-        for job in list(self._transient.jobs.values()):
-            if now >= job.expires_at:
-                self.give_up_transient(job.id, "deadline")
-            elif job.state is JobState.QUEUED:
-                if is_hopeless(job, now):
-                    self._refuse_transient(job, "too-late", now)
-                elif not self.reaches_runners(now):
-                    self._refuse_transient(job, "no-runner", now)
-
-    def _refuse_transient(self, job, reason, now):
-        """Refuses a job of which nothing has started."""
-        del self._transient.jobs[job.id]
-        self._waiting.discard(job)
-        self._note.count("banyanwheel.refusals", reason)
-        self._note(
-            "request:refused",
-            job=job.id,
-            reason=reason,
-            waited_ms=round((now - job.received_at) * 1000),
-        )
-        for reply in job.on_final:
-            reply(Reply(Outcome.NOT_STORED, retry_ms=RETRY_AFTER_MS))
-
     # Ends
 
     def _end_job(self, partition, job, state, reason=""):
@@ -389,96 +243,6 @@
             message = StopTasks(partition.number, partition.epoch, tuple(runs))
             self._send(runner, message)
 
-    # Placing
-
-    def dispatch(self, now):
-        """Places the tasks that may start, most urgent job first."""
-        if not self._waiting:
-            return
-        views = self._usable_views(now)
-        if not views:
-            return
-        headroom = Headroom.of(views)
-        misfits = 0
-        for job in sorted(self._waiting, key=lambda job: rank(job, now)):
-            if not headroom.admits(job, now):
-                continue
-            if not self._place_job(job, views, headroom, now):
-                misfits += 1
-                if misfits >= MISFITS_PER_ROUND:
-                    return
-
-    def _usable_views(self, now):
-        """Returns the runners that may get tasks, sound ones where there are enough."""
-        usable = [view for view in self._views.values() if view.usable(now)]
-        sound = [view for view in usable if not view.suspected(now)]
-        # Where most seem unsound, the fault lies with the jobs.
-        return sound if len(sound) >= SOUND_SHARE * len(usable) else usable
-
-    def _place_job(self, job, views, headroom, now):
-        """Places what it can of a job; returns False where a task found no room."""
-        used = {}
-        complete = True
-        for task in list(job.startable(now)):
-            view = self._placement.choose(job, task, views, used, now)
-            if view is None or not headroom.admits(job, now):
-                complete = False
-                break
-            partition = self._partition(job.partition)
-            job.place(task, view.name, partition.epoch, now)
-            step = job.step_of(task)
-            order = Order(
-                task.id, task.run, step.resources, step.estimate_ms, task.checkpoint
-            )
-            headroom.take(step.resources)
-            view.outstanding[task.id, task.run] = _Sent(step.resources, None, now)
-            used.setdefault(view, []).append(order)
-        for view, orders in used.items():
-            self._order(job, view, orders, now)
-        if complete and not self._has_waiting(job):
-            self._waiting.discard(job)
-        return complete
-
-    def _has_waiting(self, job):
-        return job.live and any(
-            task.state is TaskState.WAITING for tasks in job.tasks for task in tasks
-        )
-
-    def _order(self, job, view, orders, now):
-        partition = self._partition(job.partition)
-        expires = view.trust.stamp_at(job.expires_at) if job.expires_at else 0
-        urgency = rank(job, now).urgency(now)
-        spec = job.submission.spec
-        incarnation = view.worker.incarnation
-        valid = view.trust.stamp_at(now + ORDER_LIFE_S)
-
-        def message(chosen):
-            return StartTasks(
-                partition.number,
-                partition.epoch,
-                incarnation,
-                spec,
-                urgency,
-                valid,
-                expires,
-                chosen,
-            )
-
-        self._note(
-            "task:placed",
-            job=job.id,
-            runner=view.name,
-            runs=[f"{order.task}#{order.run}" for order in orders],
-            slack_ms=round(urgency * 1000),
-            report_age_ms=round((now - view.heard_at) * 1000),
-            free_cpu=view.free.cpu,
-            slowness=round(view.slowness, 2),
-        )
-        self._send(view.name, message(tuple(orders)))
-        for order in orders:
-            sent = view.outstanding[order.task, order.run]
-            sent.message = message((order,))
-
     # Time
 
     def tick(self, now):
@@ -494,75 +258,6 @@
         self._expire_transient(now)
         self.dispatch(now)
 
-    def _resend(self, view, now):
-        if not view.outstanding or now - view.heard_at > RESEND_S:
-            return
-        for sent in view.outstanding.values():
-            if now - sent.sent_at > RESEND_S:
-                sent.sent_at = now
-                valid = view.trust.stamp_at(now + ORDER_LIFE_S)
-                sent.message = msgspec.structs.replace(sent.message, valid_stamp=valid)
-                self._note.count("banyanwheel.retries", "order-unseen")
-                self._send(view.name, sent.message)
-
-    def _release_unlisted(self, now):
-        """Frees tasks whose runner says, again and again, that it has no such run."""
-        for partition in self._all_partitions():
-            for job in partition.all_jobs:
-                for task in job.placed():
-                    view = self._views.get(task.runner)
-                    if view is not None and self._is_unlisted(view, task, now):
-                        self._release(job, task, "unlisted")
-                self.close_transient(job)
-
-    def _is_unlisted(self, view, task, now):
-        key = (task.id, task.run)
-        if (
-            key in view.outstanding
-            or key in view.listed
-            or now - view.heard_at > UNLISTED_S
-        ):
-            task.unlisted_since = None
-            return False
-        if task.unlisted_since is None:
-            task.unlisted_since = now
-        return now - task.unlisted_since > UNLISTED_S
-
-    def _give_up_silent(self, view, now):
-        if now - view.heard_at < self._transient_replacement_s:
-            return
-        self._release_runs(self._transient, view, "runner-silent")
-        if now - view.heard_at < self._replacement_s:
-            return
-        for partition in self._partitions.values():
-            trusted_at = max(view.trust.received_at, partition.opened_at)
-            if now - trusted_at < self._replacement_s:
-                continue
-            self._release_runs(partition, view, "runner-silent")
-
-    def _release_runs(self, partition, view, reason, keep=frozenset()):
-        """Frees the tasks placed at a runner whose runs are certainly over."""
-        for job in partition.all_jobs:
-            for task in job.placed():
-                if task.runner != view.name or (task.id, task.run) in keep:
-                    continue
-                view.outstanding.pop((task.id, task.run), None)
-                self._release(job, task, reason)
-            self.close_transient(job)
-
-    def _release(self, job, task, reason):
-        self._note(
-            "task:released",
-            task=str(task.id),
-            run=task.run,
-            runner=task.runner,
-            reason=reason,
-        )
-        self._note.count("banyanwheel.retries", reason)
-        job.release(task)
-        if job.live:
-            self._waiting.add(job)
-
     def usable_runners(self, now):
         """Returns how many runners may get tasks."""
         return sum(view.usable(now) for view in self._views.values())
@@ -581,52 +276,6 @@
             for task in job.placed()
         )
 
-    def _survey(self, partition, now):
-        if partition.surveyed:
-            return
-        known = all(
-            view.settled and view.epochs.get(partition.number) == partition.epoch
-            for view in self._views.values()
-        )
-        if known or now - partition.opened_at > self._replacement_s:
-            partition.survey()
-            self._note(
-                "partition:surveyed",
-                partition=partition.number,
-                epoch=partition.epoch,
-                by="reports" if known else "time",
-            )
-
-    def _store_progress(self, partition, now):
-        for job in partition.jobs.values():
-            if (
-                job.unstored
-                and job.live
-                and (now - job.unstored_since > PROGRESS_DELAY_S)
-            ):
-                self._store_job_progress(partition, job)
-
-    def _store_job_progress(self, partition, job):
-        ends, job.unstored = job.unstored, {}
-        job.in_store.update(ends)
-        job.progress_stored = True
-        record = encode(Progress(job.done_runs(), job.failed_runs()))
-        partition.journal.add(
-            [(progress_key(job.id), record)], lambda: self._take_ends(job, ends)
-        )
-        self._store(partition)
-
-    def _expire(self, partition):
-        oldest = self._wall_ms() - self._retention_ms
-        records = []
-        while partition.expiring and partition.expiring[0][0] < oldest:
-            _, job_id = partition.expiring.popleft()
-            partition.ended.pop(job_id, None)
-            records.append((job_key(job_id), None))
-        if records:
-            partition.journal.add(records, lambda: None)
-            self._store(partition)
-
     def find(self, number, task_id):
         """Returns partition, job and task, each None where unknown here."""
         partition = self._partition(number)
--- a/packages/jobs/banyanwheel_jobs/runner.py
+++ b/packages/jobs/banyanwheel_jobs/runner.py
@@ -6,14 +6,14 @@
 """
 
 from collections import deque
-from dataclasses import dataclass, field
 
 from .authority import LEASE_SLACK, Authority
 from .cursor import Cursor
-from .messages import Order, Report, RunEnd, RunStatus, WorkerStatus
-from .model import TRANSIENT, EndKind, Resources, partition_of
+from .model import EndKind, Resources
+from .orders import Orders
 from .ports import StartOutcome
-from .runs import HeldEnd, HeldRun, RunState, room_used
+from .runs import RunState, room_used
+from .worker_lists import WorkerLists
 
 __all__ = ["Runner"]
 
@@ -23,26 +23,10 @@
 STOP_AHEAD_S = 0.25
 TOMBSTONES = 4_000  # ended runs that are remembered, against late copies of orders
 LAPSE_MARGIN_S = 0.15
-SLOWNESS_MEMORY = 0.8  # weight of what was known before, at each end
-MIN_ESTIMATE_MS = 20
 SUPERSEDED_DRAIN_S = 1.5  # for runs to end before the lease lapses
 
-_KINDS = {
-    "done": EndKind.DONE,
-    "failed": EndKind.FAILED,
-    "lapsed": EndKind.LAPSED,
-}
 
-
-@dataclass(slots=True)
-class _Lapse:
-    """A lease that must lapse before the worker is told of some ends."""
-
-    since: float
-    keys: set = field(default_factory=set)
-
-
-class Runner:
+class Runner(WorkerLists, Orders):
     """The runs on one worker, for all owners."""
 
     def __init__(self, partitions, lease_s, note):
@@ -181,272 +165,6 @@
         """Whether the lease is to be renewed; not while it has to lapse."""
         return self._lapse is None or any(run.on_worker for run in self._runs.values())
 
-    def take_holdings(self, holdings, fence, acknowledged, sent_at, now):
-        """Takes in the worker's lists, the answer to what was sent at ``sent_at``."""
-        self.read_clock(holdings.clock_ms, now)
-        if self._announced is None or (
-            holdings.incarnation != self._announced.incarnation
-        ):
-            return
-        self._told = max(self._told, acknowledged)
-        listed = set()
-        for ended in holdings.ended:
-            listed.add((ended.task, ended.run))
-            self._take_listed_end(ended, now)
-        for running in holdings.running:
-            listed.add((running.task, running.run))
-            self._take_listed_run(running, now)
-        for run in list(self._runs.values()):
-            if run.key not in listed:
-                self._check_missing(run, fence, sent_at, now)
-        if not self.settled and not any(run.foreign for run in self._runs.values()):
-            self.settled = True
-            self.version += 1
-
-    def _take_listed_end(self, ended, now):
-        key = (ended.task, ended.run)
-        if not self._cursor.list(ended.number, key):
-            return
-        run = self._runs.pop(key, None)
-        if key in self._buried:
-            # The owner was told before that the lease had lapsed, and it has.
-            self._cursor.take(key)
-            return
-        run_ms = round((now - run.started_at) * 1000) if run and run.started_at else 0
-        kind = _KINDS.get(ended.kind, EndKind.STOPPED)
-        partition, owner = self._scope_of(run, ended.task)
-        end = RunEnd(
-            partition,
-            ended.task,
-            ended.run,
-            kind,
-            ended.checkpoint,
-            run_ms,
-            ended.kind,
-        )
-        self._ends[key] = HeldEnd(end, owner, ended.number)
-        if partition == TRANSIENT:
-            # Such a job is not stored: its end need not wait for its owner.
-            self._cursor.take(key)
-        self.version += 1
-        self._note(
-            "run:ended",
-            task=str(ended.task),
-            run=ended.run,
-            kind=ended.kind,
-            run_ms=run_ms,
-        )
-        if run and kind is EndKind.DONE:
-            self._learn_speed(run, run_ms)
-
-    def _scope_of(self, run, task):
-        """Returns the partition and the owner of a run, also of an unknown one."""
-        if run is not None and not run.foreign:
-            return run.partition, run.owner
-        return partition_of(task.job, self._partitions), None
-
-    def _learn_speed(self, run, run_ms):
-        ratio = run_ms / max(MIN_ESTIMATE_MS, run.order.estimate_ms)
-        if not self._slowness:
-            self._slowness = ratio
-            return
-        self._slowness = (
-            SLOWNESS_MEMORY * self._slowness + (1 - SLOWNESS_MEMORY) * ratio
-        )
-
-    def _take_listed_run(self, running, now):
-        key = (running.task, running.run)
-        run = self._runs.get(key)
-        if run is None:
-            run = self._find_foreign(running, now)
-        if run.state in (RunState.STARTING, RunState.DOUBTFUL):
-            self._mark_running(run, now)
-        run.percent = running.percent
-        run.checkpoint = running.checkpoint
-
-    def _find_foreign(self, running, now):
-        order = Order(running.task, running.run, Resources(), 0)
-        partition, owner = self._scope_of(None, running.task)
-        run = HeldRun(order, partition, -1, owner, "", now, now, RunState.RUNNING)
-        run.foreign = True
-        self._runs[run.key] = run
-        self._note("run:found", task=str(running.task), run=running.run)
-        return run
-
-    def _mark_running(self, run, now):
-        if run.state in (RunState.STARTING, RunState.DOUBTFUL):
-            run.state = RunState.RUNNING
-            run.started_at = run.started_at or now
-
-    def _check_missing(self, run, fence, sent_at, now):
-        match run.state:
-            case RunState.DOUBTFUL if fence >= run.resolved_by > 0:
-                self._end_here(run, EndKind.REFUSED, "start-unanswered", now)
-            case RunState.RUNNING | RunState.STOPPING if run.started_at < sent_at:
-                self._end_here(run, EndKind.LAPSED, "not-listed", now)
-
-    def _end_here(self, run, kind, reason, now):
-        """Ends a run that the worker doesn't list, and never will as alive."""
-        self._runs.pop(run.key, None)
-        run_ms = round((now - run.started_at) * 1000) if run.started_at else 0
-        end = RunEnd(run.partition, *run.key, kind, run.checkpoint, run_ms, reason)
-        self._ends[run.key] = HeldEnd(end, run.owner)
-        self.version += 1
-        self._bury(run.key)
-        self._note(
-            "run:ended",
-            task=str(run.order.task),
-            run=run.order.run,
-            kind=kind,
-            reason=reason,
-            run_ms=run_ms,
-        )
-
-    def _bury(self, key):
-        if key in self._buried:
-            return
-        if len(self._tombstones) == self._tombstones.maxlen:
-            self._buried.discard(self._tombstones[0])
-        self._tombstones.append(key)
-        self._buried.add(key)
-
-    # Owners
-
-    def take_contact(self, owner, contact, now):
-        """Takes an owner's heartbeat in."""
-        trusted_at = contact.trusted_stamp / 1000 if contact.trusted_stamp else None
-        seen_at = contact.seen_stamp / 1000 if contact.seen_stamp else None
-        self._authority.accept(owner, contact.claims, trusted_at, seen_at)
-
-    def forget_owner(self, owner):
-        """Drops the ends of transient jobs of a dispatcher that is gone."""
-        self._authority.forget(owner)
-        for key, held in list(self._ends.items()):
-            if held.owner == owner and held.end.partition == TRANSIENT:
-                del self._ends[key]
-
-    def take_start(self, owner, message, now):
-        """Takes orders in; returns whether any of them is new."""
-        refusal = self._refusal(owner, message, now)
-        fresh = False
-        for order in message.orders:
-            key = (order.task, order.run)
-            if key in self._runs or self._has_end(key, owner):
-                continue
-            fresh = True
-            run = HeldRun(
-                order,
-                message.partition,
-                message.epoch,
-                owner,
-                message.spec,
-                now + message.urgency,
-                now,
-            )
-            if message.expires_stamp:
-                run.expires = message.expires_stamp / 1000
-            self._runs[key] = run
-            # Another dispatcher, to which the job was sent before, used this number.
-            used = key in self._buried or key in self._ends
-            reason = "outdated" if used else refusal
-            if reason:
-                self._end_here(run, EndKind.REFUSED, reason, now)
-        return fresh
-
-    def _has_end(self, key, owner):
-        held = self._ends.get(key)
-        if held is None:
-            return False
-        return held.end.partition != TRANSIENT or held.owner == owner
-
-    def _refusal(self, owner, message, now):
-        if now * 1000 > message.valid_stamp:
-            return "held-up"
-        if message.epoch < self._authority.epoch(message.partition):
-            return "former-owner"
-        if self.stopping:
-            return "runner-stopping"
-        worker = self._announced
-        if worker is None or self._gone or worker.incarnation != message.worker:
-            return "other-incarnation"
-        return "draining" if worker.draining else ""
-
-    def take_stop(self, owner, message, now):
-        """Takes stops in; the daemon sends them on by :meth:`stops_due`."""
-        if message.epoch < self._authority.epoch(message.partition):
-            return
-        for item in message.runs:
-            key = (item.task, item.run)
-            run = self._runs.get(key)
-            if run is None:
-                if key not in self._ends:
-                    self._bury(key)
-            elif message.partition == TRANSIENT and run.owner != owner:
-                continue
-            elif run.state is RunState.WAITING:
-                self._end_here(run, EndKind.STOPPED, "stopped", now)
-            else:
-                run.stop_asked = True
-
-    def take_ends_taken(self, message, now):
-        """Forgets ends that their owner has stored."""
-        for item in message.runs:
-            key = (item.task, item.run)
-            self._ends.pop(key, None)
-            self._bury(key)
-            self._cursor.take(key)
-        for item in message.superseded:
-            if self._lapse is None:
-                self._lapse = _Lapse(now)
-                self._note("worker:lapse", task=str(item.task), run=item.run)
-            self._lapse.keys.add((item.task, item.run))
-
-    def report(self, owner, now):
-        """Returns all that concerns ``owner``."""
-        claimed = self._authority.owned_by(owner)
-        partitions = {partition for partition, _ in claimed}
-
-        def concerns(partition, of):
-            return of == owner if partition == TRANSIENT else partition in partitions
-
-        runs = tuple(
-            RunStatus(
-                run.partition,
-                run.order.task,
-                run.order.run,
-                run.percent,
-                round((now - (run.started_at or run.queued_at)) * 1000),
-            )
-            for run in self._runs.values()
-            if concerns(run.partition, run.owner) and not run.foreign
-        )
-        ends = tuple(
-            held.end
-            for held in self._ends.values()
-            if concerns(held.end.partition, held.owner)
-        )
-        return Report(
-            int(now * 1000), self.settled, self._status(), claimed, runs, ends
-        )
-
-    def _status(self):
-        worker = self._announced
-        if worker is None or self._gone:
-            return None
-        waiting = Resources()
-        for run in self._runs.values():
-            if run.state is RunState.WAITING:
-                waiting = waiting + run.order.resources
-        return WorkerStatus(
-            worker.incarnation,
-            worker.service,
-            self._accepting,
-            worker.capacity,
-            self._free() - waiting,
-            worker.labels,
-            self._slowness,
-        )
-
     @property
     def _accepting(self):
         return not (
--- /dev/null
+++ b/packages/jobs/banyanwheel_jobs/supervision.py
@@ -0,0 +1,131 @@
+"""The part of an owner that watches over orders, runners and records as time passes."""
+
+import msgspec
+
+from .dispatching import ORDER_LIFE_S
+from .records import Progress, encode, job_key, progress_key
+
+__all__ = ["Supervision"]
+
+PROGRESS_DELAY_S = 1.5  # ends wait this long for the job's own end, of the 4 s allowed
+UNLISTED_S = 0.5  # a run that its runner's reports lack for this long is not there
+RESEND_S = 0.3  # an order that no report shows is sent again
+
+
+class Supervision:
+    """Resends, gives up silent runners, stores progress, drops old jobs."""
+
+    def _resend(self, view, now):
+        if not view.outstanding or now - view.heard_at > RESEND_S:
+            return
+        for sent in view.outstanding.values():
+            if now - sent.sent_at > RESEND_S:
+                sent.sent_at = now
+                valid = view.trust.stamp_at(now + ORDER_LIFE_S)
+                sent.message = msgspec.structs.replace(sent.message, valid_stamp=valid)
+                self._note.count("banyanwheel.retries", "order-unseen")
+                self._send(view.name, sent.message)
+
+    def _release_unlisted(self, now):
+        """Frees tasks whose runner says, again and again, that it has no such run."""
+        for partition in self._all_partitions():
+            for job in partition.all_jobs:
+                for task in job.placed():
+                    view = self._views.get(task.runner)
+                    if view is not None and self._is_unlisted(view, task, now):
+                        self._release(job, task, "unlisted")
+                self.close_transient(job)
+
+    def _is_unlisted(self, view, task, now):
+        key = (task.id, task.run)
+        if (
+            key in view.outstanding
+            or key in view.listed
+            or now - view.heard_at > UNLISTED_S
+        ):
+            task.unlisted_since = None
+            return False
+        if task.unlisted_since is None:
+            task.unlisted_since = now
+        return now - task.unlisted_since > UNLISTED_S
+
+    def _give_up_silent(self, view, now):
+        if now - view.heard_at < self._transient_replacement_s:
+            return
+        self._release_runs(self._transient, view, "runner-silent")
+        if now - view.heard_at < self._replacement_s:
+            return
+        for partition in self._partitions.values():
+            trusted_at = max(view.trust.received_at, partition.opened_at)
+            if now - trusted_at < self._replacement_s:
+                continue
+            self._release_runs(partition, view, "runner-silent")
+
+    def _release_runs(self, partition, view, reason, keep=frozenset()):
+        """Frees the tasks placed at a runner whose runs are certainly over."""
+        for job in partition.all_jobs:
+            for task in job.placed():
+                if task.runner != view.name or (task.id, task.run) in keep:
+                    continue
+                view.outstanding.pop((task.id, task.run), None)
+                self._release(job, task, reason)
+            self.close_transient(job)
+
+    def _release(self, job, task, reason):
+        self._note(
+            "task:released",
+            task=str(task.id),
+            run=task.run,
+            runner=task.runner,
+            reason=reason,
+        )
+        self._note.count("banyanwheel.retries", reason)
+        job.release(task)
+        if job.live:
+            self._waiting.add(job)
+
+    def _survey(self, partition, now):
+        if partition.surveyed:
+            return
+        known = all(
+            view.settled and view.epochs.get(partition.number) == partition.epoch
+            for view in self._views.values()
+        )
+        if known or now - partition.opened_at > self._replacement_s:
+            partition.survey()
+            self._note(
+                "partition:surveyed",
+                partition=partition.number,
+                epoch=partition.epoch,
+                by="reports" if known else "time",
+            )
+
+    def _store_progress(self, partition, now):
+        for job in partition.jobs.values():
+            if (
+                job.unstored
+                and job.live
+                and (now - job.unstored_since > PROGRESS_DELAY_S)
+            ):
+                self._store_job_progress(partition, job)
+
+    def _store_job_progress(self, partition, job):
+        ends, job.unstored = job.unstored, {}
+        job.in_store.update(ends)
+        job.progress_stored = True
+        record = encode(Progress(job.done_runs(), job.failed_runs()))
+        partition.journal.add(
+            [(progress_key(job.id), record)], lambda: self._take_ends(job, ends)
+        )
+        self._store(partition)
+
+    def _expire(self, partition):
+        oldest = self._wall_ms() - self._retention_ms
+        records = []
+        while partition.expiring and partition.expiring[0][0] < oldest:
+            _, job_id = partition.expiring.popleft()
+            partition.ended.pop(job_id, None)
+            records.append((job_key(job_id), None))
+        if records:
+            partition.journal.add(records, lambda: None)
+            self._store(partition)
--- /dev/null
+++ b/packages/jobs/banyanwheel_jobs/transient.py
@@ -0,0 +1,117 @@
+"""The part of an owner that runs jobs which are not stored."""
+
+from .job import Job
+from .model import TRANSIENT, JobState
+from .outcomes import RETRY_AFTER_MS, Outcome, Reply
+from .placement import is_hopeless
+
+__all__ = ["TransientJobs"]
+
+UNREACHED_S = 0.5  # without a usable runner, jobs are refused
+CANCELED_KEPT = 5_000  # far above the jobs canceled within their deadlines
+
+
+class TransientJobs:
+    """Runs a caller's job from memory and answers at its end."""
+
+    def reaches_runners(self, now):
+        """Whether any runner could be used a short while ago."""
+        if any(view.usable(now) for view in self._views.values()):
+            self._reached_at = now
+        return now - self._reached_at < UNREACHED_S
+
+    def run_transient(self, submission, reply, now, expires_at):
+        """Runs a job that is not stored; the reply comes at its end."""
+        job_id = submission.job_id
+        if job_id in self._canceled:
+            reply(Reply(Outcome.STATE, JobState.CANCELED))
+            return
+        if job_id in self._transient.closing:
+            # Runs of an earlier attempt must be over first.
+            self._transient.closing[job_id].successor = lambda: self.run_transient(
+                submission, reply, now, expires_at
+            )
+            return
+        job = self._transient.jobs.get(job_id)
+        if job is None:
+            job = Job.from_submission(submission, TRANSIENT, 0, now)
+            self._transient.jobs[job_id] = job
+            self._waiting.add(job)
+        job.expires_at = max(job.expires_at or expires_at, expires_at)
+        job.on_final.append(reply)
+        self.dispatch(now)
+
+    def leave_transient(self, job_id, reply):
+        """Ends a caller's waiting; the job is canceled when nobody waits any more."""
+        job = self._transient.jobs.get(job_id)
+        if job is None or reply not in job.on_final:
+            return
+        job.on_final.remove(reply)
+        if not job.on_final:
+            self.give_up_transient(job_id, "caller-left")
+
+    def cancel_transient(self, job_id):
+        """Cancels a transient job for its caller; returns whether there was one.
+
+        A copy of the job that arrives later is not run either.
+        """
+        self._canceled[job_id] = True
+        if len(self._canceled) > CANCELED_KEPT:
+            self._canceled.popitem(last=False)
+        job = self._transient.jobs.get(job_id)
+        if job is None:
+            return False
+        self._end_transient(job, JobState.CANCELED, "canceled")
+        return True
+
+    def give_up_transient(self, job_id, reason):
+        """Stops a transient job whose caller has to hand it in again."""
+        job = self._transient.jobs.get(job_id)
+        if job is not None:
+            replies, job.on_final = job.on_final, []
+            self._end_transient(job, JobState.CANCELED, reason)
+            for reply in replies:
+                reply(Reply(Outcome.IN_DOUBT))
+
+    def _end_transient(self, job, state, reason=""):
+        del self._transient.jobs[job.id]
+        self._waiting.discard(job)
+        job.state = state
+        self._note("job:ended", job=job.id, state=state, reason=reason)
+        placed = job.placed()
+        if placed:
+            self._transient.closing[job.id] = job
+            self._stop_runs(self._transient, placed)
+        for reply in job.on_final:
+            reply(Reply(Outcome.STATE, state))
+
+    def close_transient(self, job):
+        """Forgets a job that has ended once it has no run left."""
+        if self._transient.closing.get(job.id) is job and not job.placed():
+            del self._transient.closing[job.id]
+            if job.successor:
+                job.successor()
+
+    def _expire_transient(self, now):
+        for job in list(self._transient.jobs.values()):
+            if now >= job.expires_at:
+                self.give_up_transient(job.id, "deadline")
+            elif job.state is JobState.QUEUED:
+                if is_hopeless(job, now):
+                    self._refuse_transient(job, "too-late", now)
+                elif not self.reaches_runners(now):
+                    self._refuse_transient(job, "no-runner", now)
+
+    def _refuse_transient(self, job, reason, now):
+        """Refuses a job of which nothing has started."""
+        del self._transient.jobs[job.id]
+        self._waiting.discard(job)
+        self._note.count("banyanwheel.refusals", reason)
+        self._note(
+            "request:refused",
+            job=job.id,
+            reason=reason,
+            waited_ms=round((now - job.received_at) * 1000),
+        )
+        for reply in job.on_final:
+            reply(Reply(Outcome.NOT_STORED, retry_ms=RETRY_AFTER_MS))
--- a/tests/daemon/test_caller_desk.py
+++ b/tests/daemon/test_caller_desk.py
@@ -2,7 +2,8 @@
 
 from banyanwheel_daemon.caller_desk import CallerDesk
 from banyanwheel_jobs.model import Queue, Resources, Step
-from banyanwheel_jobs.owner import Outcome, Owner
+from banyanwheel_jobs.outcomes import Outcome
+from banyanwheel_jobs.owner import Owner
 from banyanwheel_jobs.placement import Placement
 
 QUEUE = Queue("counter", "desk", 0, 3, 1.6, 60)
--- a/tests/jobs/test_state_machine.py
+++ b/tests/jobs/test_state_machine.py
@@ -9,7 +9,7 @@
     rule,
 )
 
-from banyanwheel_jobs.owner import Outcome
+from banyanwheel_jobs.outcomes import Outcome
 
 from .world import World
 
--- a/tests/jobs/test_stored.py
+++ b/tests/jobs/test_stored.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from banyanwheel_jobs.owner import Outcome
+from banyanwheel_jobs.outcomes import Outcome
 
 from .world import World
 
