Judge a run's progress by the time at which its percentage was read

Cause: lists are read every 0.2 s, and the age came from the report; a percentage up to 0.2 s old looked like a crawl (mix: sound runs stopped after 226 ms). Test: test_stragglers.py, fails before.

--- a/packages/jobs/banyanwheel_jobs/ends.py
+++ b/packages/jobs/banyanwheel_jobs/ends.py
@@ -73,7 +73,15 @@
     def _stop(self, partition, view, status, reason):
         run = TaskRun(status.task, status.run)
         self._send(view.name, StopTasks(partition.number, partition.epoch, (run,)))
-        self._note("task:stopped", task=str(status.task), run=status.run, reason=reason)
+        self._note(
+            "task:stopped",
+            task=str(status.task),
+            run=status.run,
+            runner=view.name,
+            percent=status.percent,
+            age_ms=status.age_ms,
+            reason=reason,
+        )
 
     def _take_end(self, view, end, now, taken, superseded):
         partition, job, task = self.find(end.partition, end.task)
--- a/packages/jobs/banyanwheel_jobs/messages.py
+++ b/packages/jobs/banyanwheel_jobs/messages.py
@@ -47,7 +47,10 @@
 
 
 class RunStatus(msgspec.Struct, frozen=True, array_like=True):
-    """A run that a runner holds; ``percent`` is -1 while it waits for room."""
+    """A run that a runner holds.
+
+    ``percent`` is what the worker said when the run had lasted ``age_ms``; -1 before.
+    """
 
     partition: int
     task: TaskId
@@ -178,7 +181,7 @@
 
 
 class Answer(_Message):
-    """The outcome of an :class:`Ask`: see :class:`banyanwheel_jobs.outcomes.Outcome`."""
+    """What came of an :class:`Ask`, by :class:`banyanwheel_jobs.outcomes.Outcome`."""
 
     number: int
     outcome: str
--- a/packages/jobs/banyanwheel_jobs/orders.py
+++ b/packages/jobs/banyanwheel_jobs/orders.py
@@ -123,7 +123,7 @@
                 run.order.task,
                 run.order.run,
                 run.percent,
-                round((now - (run.started_at or run.queued_at)) * 1000),
+                run.percent_age_ms,
             )
             for run in self._runs.values()
             if concerns(run.partition, run.owner) and not run.foreign
--- a/packages/jobs/banyanwheel_jobs/runs.py
+++ b/packages/jobs/banyanwheel_jobs/runs.py
@@ -40,6 +40,7 @@
     state: RunState = RunState.WAITING
     started_at: float = 0.0
     percent: int = -1
+    percent_at: float = 0.0  # when the worker said so
     checkpoint: str = ""
     foreign: bool = False
     expires: float = float("inf")
@@ -51,6 +52,11 @@
         """The task and the number of the run."""
         return self.order.task, self.order.run
 
+    @property
+    def percent_age_ms(self):
+        """How long the run had lasted when its percentage was read."""
+        return max(0, round((self.percent_at - self.started_at) * 1000))
+
     @property
     def on_worker(self):
         """Whether it takes room on the worker, or may."""
--- a/packages/jobs/banyanwheel_jobs/worker_lists.py
+++ b/packages/jobs/banyanwheel_jobs/worker_lists.py
@@ -100,6 +100,7 @@
         if run.state in (RunState.STARTING, RunState.DOUBTFUL):
             self._mark_running(run, now)
         run.percent = running.percent
+        run.percent_at = now
         run.checkpoint = running.checkpoint
 
     def _find_foreign(self, running, now):
--- a/tests/jobs/test_stragglers.py
+++ b/tests/jobs/test_stragglers.py
@@ -28,6 +28,20 @@
     assert not is_straggling(0, 9.0, 0.1, restarts=3)
 
 
+def test_a_percentage_counts_for_the_time_at_which_it_was_read():
+    """The lists are looked at every 0.2 s; an old figure must not look like a crawl."""
+    world = World(owners=1, runners=1, run_s=1.0)
+    for _ in range(20):
+        world.step()
+    world.submit("owner-0", "a" * 16, tasks=1, deadline_s=20.0)
+    world.step(0.1)
+    world.step(0.1)
+    origin = ("owner-0", world.incarnation("owner-0"))
+    (status,) = world.runners["runner-0"].report(origin, world.now + 5.0).runs
+    assert status.percent > 0
+    assert status.age_ms <= 200
+
+
 def test_a_task_that_stands_still_is_run_elsewhere():
     world = World()
     for _ in range(20):
