--- a/packages/client/banyanwheel_client/cli/app.py
+++ b/packages/client/banyanwheel_client/cli/app.py
@@ -11,7 +11,9 @@
 from banyanwheel_core.submissions import findings_of
 
 from ..errors import UsageError
-from .options import with_run
+from ..output import Printer
+from ..story import Story
+from .options import AsJson, with_run
 from .prompt import Prompt
 from .run import Run
 
@@ -98,6 +100,21 @@
     return run.execute(Reconfigure(_read_configuration(run.environment, file), base))
 
 
+@app.command()
+def explain(
+    context: typer.Context,
+    request_id: Annotated[str, typer.Argument(help="The id of a job.")],
+    files: Annotated[list[str], typer.Argument(help="Log files of processes.")],
+    as_json: AsJson = False,
+):
+    """Tell one request's story from the log files of several processes."""
+    printer = Printer(context.obj, as_json)
+    story = Story.from_files(request_id, files)
+    printer.rows(story.rows)
+    if story.unreadable:
+        printer.error(f"{story.unreadable} lines could not be read")
+
+
 @app.command()
 @with_run
 def prompt(run: Run):
--- a/packages/client/banyanwheel_client/cli/options.py
+++ b/packages/client/banyanwheel_client/cli/options.py
@@ -9,7 +9,7 @@
 from ..client import DEFAULT_CHANGE_TIMEOUT_S, DEFAULT_TRY_TIMEOUT_S
 from .run import Options, Run
 
-__all__ = ["with_run"]
+__all__ = ["AsJson", "with_run"]
 
 Entries = Annotated[
     list[str] | None,
