--- a/packages/daemon/banyanwheel_daemon/caller_desk.py
+++ b/packages/daemon/banyanwheel_daemon/caller_desk.py
@@ -15,6 +15,8 @@
 UNOWNED_SUBMIT_S = 0.5  # a job that nobody can store is refused early
 ANSWER_MARGIN_S = 0.15  # the answer travels before the caller's deadline
 MIN_WAIT_S = 0.05
+# A connection that has gone silent is replaced within a second.
+CANCEL_REPEATS_S = (0.0, 0.4, 1.2)
 CLOSING_FACTOR = 2.0  # over a job's estimate, on the slowest workers
 PENDING_AGE_S = 1.9  # a count of another process may be this old
 
@@ -126,9 +128,13 @@
         if self._owner.cancel_transient(job_id):
             reply(Reply(Outcome.STATE, JobState.CANCELED))
             return
+        for delay_s in CANCEL_REPEATS_S:
+            asyncio.get_running_loop().call_later(delay_s, self._spread_cancel, job_id)
+        self._begin(Ask(0, "cancel", job_id), reply, deadline_s)
+
+    def _spread_cancel(self, job_id):
         for address in self._counts:
             self._send(address, Ask(0, "cancel-transient", job_id))
-        self._begin(Ask(0, "cancel", job_id), reply, deadline_s)
 
     def pending(self, queue):
         """Returns how many jobs of a queue have not begun, over all owners."""
