Let a silent worker's lease lapse, and believe a new runner only once it has seen its worker

Found by reading, each with a test that failed before: - A runner process without its worker's heartbeat yet was believed when it listed nothing: tasks were placed elsewhere while runs of its former process went on (two runs at once). - Looks without an answer extended the lease in the books for good, so tasks at a dead worker waited for its return. - A later life of a worker with an earlier birth (clock set back) was ignored for good.

--- a/packages/daemon/banyanwheel_daemon/peers.py
+++ b/packages/daemon/banyanwheel_daemon/peers.py
@@ -10,6 +10,7 @@
 __all__ = ["Peers"]
 
 NO_CONFIGURATION = -1
+HEARTBEAT_MS = 400  # a silent connection is replaced within about a second
 
 
 class Peers:
@@ -27,6 +28,7 @@
             str(address),
             self._receive,
             messages=messages,
+            heartbeat_ms=HEARTBEAT_MS,
             clock=clock,
         )
 
--- a/packages/daemon/banyanwheel_daemon/runner.py
+++ b/packages/daemon/banyanwheel_daemon/runner.py
@@ -9,7 +9,7 @@
     StartTasks,
     StopTasks,
 )
-from banyanwheel_jobs.ports import WorkerUnavailable
+from banyanwheel_jobs.ports import StartOutcome, WorkerUnavailable
 from banyanwheel_jobs.runner import Runner
 from banyanwheel_platform.heartbeats import HeartbeatServer
 from banyanwheel_platform.log import LogClient
@@ -108,6 +108,7 @@
                 continue
             wait_ms = HOLD_WAIT_MS if self._runner.settled else 0
             if not await self._hold(wait_ms):
+                self._report_soon()
                 await asyncio.sleep(RETRY_S)
 
     async def _hold(self, wait_ms):
@@ -123,6 +124,7 @@
             )
         except WorkerUnavailable as error:
             if client is self._client:
+                runner.look_unanswered(sent_at)
                 self.note("worker:unavailable", call="hold", fault=str(error))
                 self.note.count("banyanwheel.retries", "worker-hold")
             return False
@@ -139,13 +141,13 @@
 
     async def _start(self, run):
         client, order = self._client, run.order
-        fence = self._runner.fence
+        deadline_ms = self._runner.deadline_ms(boot_time())
+        if deadline_ms is None:
+            self._runner.start_answered(run, StartOutcome.LATE, boot_time())
+            return
         try:
             outcome, clock_ms = await client.start(
-                order,
-                run.spec,
-                deadline_ms=self._runner.deadline_ms(boot_time()),
-                fence=fence,
+                order, run.spec, deadline_ms=deadline_ms, fence=self._runner.fence
             )
         except WorkerUnavailable as error:
             self.note(
--- a/packages/daemon/banyanwheel_daemon/transport.py
+++ b/packages/daemon/banyanwheel_daemon/transport.py
@@ -80,7 +80,9 @@
     """Carries batches of messages to and from peers.
 
     ``on_envelope(envelope)`` is called on the loop for each envelope received.
-    ``messages`` is the module of the messages, with ``Envelope`` and ``Misaddressed``.
+    A connection without a sign of life for three times ``heartbeat_ms`` is replaced; 0
+    for no such watch. ``messages`` is the module of the messages, with ``Envelope`` and
+    ``Misaddressed``.
     ``clock`` gives monotonic seconds. Create it inside a running loop.
     """
 
@@ -92,6 +94,7 @@
         on_envelope,
         *,
         messages=core_messages,
+        heartbeat_ms=0,
         clock=time.monotonic,
     ):
         self._name = name
@@ -101,6 +104,7 @@
         self._loop = IOLoop.current()
         self._encoder = msgspec.json.Encoder()
         self._messages = messages
+        self._heartbeat_ms = heartbeat_ms
         self._decoder = msgspec.json.Decoder(messages.Envelope)
         self._connections = {}  # by (peer name, address)
         self._routes = {}  # by Peer
@@ -192,6 +196,9 @@
         socket.setsockopt(zmq.MAXMSGSIZE, MAX_ENVELOPE_BYTES)
         socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
         socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
+        if self._heartbeat_ms:
+            socket.setsockopt(zmq.HEARTBEAT_IVL, self._heartbeat_ms)
+            socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, 3 * self._heartbeat_ms)
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
         self._loop.add_handler(
--- a/packages/jobs/banyanwheel_jobs/authority.py
+++ b/packages/jobs/banyanwheel_jobs/authority.py
@@ -128,11 +128,6 @@
         stamp, received_at = self._received
         return round(stamp + (when - received_at) * 1000)
 
-    @property
-    def received_at(self):
-        """When the stamp that is returned had been received."""
-        return self._trusted[1]
-
     def receive(self, stamp, now):
         """Notes a stamp of the runner."""
         if stamp > self._received[0]:
--- a/packages/jobs/banyanwheel_jobs/ends.py
+++ b/packages/jobs/banyanwheel_jobs/ends.py
@@ -20,6 +20,8 @@
             return
         restarted = view.incarnation not in ("", incarnation)
         view.heard_at = now
+        if not restarted:
+            view.known_at = now
         view.worker = report.worker
         view.settled = report.settled
         view.epochs = dict(report.epochs)
@@ -32,6 +34,7 @@
             for partition in self._all_partitions():
                 self._release_runs(partition, view, "runner-restarted", view.listed)
         view.incarnation = incarnation
+        view.known_at = now
         for status in report.runs:
             self._take_run(view, status, now)
         taken, superseded = [], []
--- a/packages/jobs/banyanwheel_jobs/job.py
+++ b/packages/jobs/banyanwheel_jobs/job.py
@@ -64,7 +64,7 @@
     in_store: dict = field(default_factory=dict)  # the same, while being stored
     on_final: list = field(default_factory=list)
     expires_at: float | None = None
-    successor: object = None  # hands the same job in again once no run is left
+    successors: list = field(default_factory=list)  # called once no run is left
     _open_steps: list = field(default_factory=list)
 
     @classmethod
--- a/packages/jobs/banyanwheel_jobs/orders.py
+++ b/packages/jobs/banyanwheel_jobs/orders.py
@@ -148,7 +148,7 @@
         return WorkerStatus(
             worker.incarnation,
             worker.service,
-            self._accepting,
+            self._accepting and self._unanswered_since is None,
             worker.capacity,
             self._free() - waiting,
             worker.labels,
--- a/packages/jobs/banyanwheel_jobs/ports.py
+++ b/packages/jobs/banyanwheel_jobs/ports.py
@@ -160,12 +160,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Holdings:
-    """Both lists of a worker, with its clock in ms and its incarnation."""
+    """Both lists of a worker, with its clock in ms and its incarnation.
+
+    ``complete`` tells whether all ends are listed.
+    """
 
     clock_ms: int
     incarnation: str
     running: tuple[WorkerRun, ...]
     ended: tuple[WorkerEnd, ...]
+    complete: bool = True
 
 
 class WorkerPort(Protocol):
--- a/packages/jobs/banyanwheel_jobs/runner.py
+++ b/packages/jobs/banyanwheel_jobs/runner.py
@@ -23,6 +23,8 @@
 STOP_AHEAD_S = 0.25
 TOMBSTONES = 4_000  # ended runs that are remembered, against late copies of orders
 LAPSE_MARGIN_S = 0.15
+WORKER_SILENT_S = 0.3  # more than a look takes; then the lease is left to lapse
+LIFE_SILENT_S = 3.2  # two heartbeats of a worker
 SUPERSEDED_DRAIN_S = 1.5  # for runs to end before the lease lapses
 
 
@@ -45,6 +47,8 @@
         self._lapse = None
         self._slowness = 0.0
         self._lease_until = 0.0  # the latest time at which the lease can end
+        self._unanswered_since = None  # when the first look without an answer was sent
+        self._heard_at = float("-inf")  # when the worker's life in use last spoke
         self._clock = (0, 0.0)  # the worker's ms, and when they were read
         self.settled = False
         self.stopping = False
@@ -94,16 +98,26 @@
         if known is not None and announcement.incarnation == known.incarnation:
             if announcement.sequence > known.sequence:
                 self._announced = announcement
+                self._heard_at = now
                 self._gone = False
                 if announcement.draining:
                     self._refuse_waiting("draining")
             return False
-        if known is not None and not _is_later(announcement, known):
+        if known is not None and self._is_outdated(announcement, now):
             self._note("worker:old-heartbeat", incarnation=announcement.incarnation)
             return False
         self._begin_life(announcement, now)
         return True
 
+    def _is_outdated(self, announcement, now):
+        """Tells whether a heartbeat is a delayed one of a former life.
+
+        A later life may have an earlier birth where the clock was set back; then the
+        life in use no longer speaks.
+        """
+        earlier = announcement.born_ms < self._announced.born_ms
+        return earlier and now - self._heard_at < LIFE_SILENT_S
+
     def _begin_life(self, announcement, now):
         self._note("worker:new", incarnation=announcement.incarnation)
         for run in list(self._runs.values()):
@@ -116,6 +130,8 @@
         self._told = 0
         self._lapse = None
         self._lease_until = 0.0
+        self._unanswered_since = None
+        self._heard_at = now
         self._slowness = 0.0
         self._clock = (announcement.clock_ms, now)
         self.fence = max(1, announcement.clock_ms)
@@ -138,11 +154,24 @@
         if clock_ms >= self._clock[0]:
             self._clock = (clock_ms, now)
 
+    def look_unanswered(self, sent_at):
+        """Notes a look at the worker's lists that had no answer."""
+        if self._unanswered_since is None:
+            self._unanswered_since = sent_at
+
+    def _is_silent(self, now):
+        since = self._unanswered_since
+        return since is not None and now - since > WORKER_SILENT_S
+
     def deadline_ms(self, now):
         """Returns a lease deadline on the worker's clock, and notes it as given.
 
-        It is no later than the authority behind any run that is there.
+        It is no later than the authority behind any run that is there. For a silent
+        worker it is None: its lease is left to lapse, since looks without an answer
+        might extend it for good.
         """
+        if self._is_silent(now):
+            return None
         clock_ms, read_at = self._clock
         until = min(
             (self._until(run) for run in self._runs.values() if run.on_worker),
@@ -183,7 +212,7 @@
 
     def starts_due(self, now):
         """Marks the runs that fit as starting, and returns them, most urgent first."""
-        if self._announced is None or not self._accepting:
+        if self._announced is None or not self._accepting or self._is_silent(now):
             return []
         free = self._free()
         due = []
@@ -287,8 +316,3 @@
         """Stops whatever runs; their ends tell the owners."""
         for run in self._runs.values():
             run.stop_asked = True
-
-
-def _is_later(announcement, known):
-    """Tells whether a heartbeat is of a later life than the known one."""
-    return announcement.born_ms >= known.born_ms
--- a/packages/jobs/banyanwheel_jobs/runners.py
+++ b/packages/jobs/banyanwheel_jobs/runners.py
@@ -30,6 +30,7 @@
     settled: bool = False
     worker: object = None  # a WorkerStatus
     heard_at: float = float("-inf")
+    known_at: float = float("-inf")  # the same for its process ``incarnation``
     epochs: dict = field(default_factory=dict)
     trust: Trust = field(default_factory=Trust)
     outstanding: dict = field(default_factory=dict)
--- a/packages/jobs/banyanwheel_jobs/supervision.py
+++ b/packages/jobs/banyanwheel_jobs/supervision.py
@@ -39,7 +39,8 @@
     def _is_unlisted(self, view, task, now):
         key = (task.id, task.run)
         if (
-            key in view.outstanding
+            not view.settled
+            or key in view.outstanding
             or key in view.listed
             or now - view.heard_at > UNLISTED_S
         ):
@@ -50,16 +51,15 @@
         return now - task.unlisted_since > UNLISTED_S
 
     def _give_up_silent(self, view, now):
-        if now - view.heard_at < self._transient_replacement_s:
+        """Frees the tasks at a runner's process that has not been heard for long."""
+        if now - view.known_at < self._transient_replacement_s:
             return
         self._release_runs(self._transient, view, "runner-silent")
-        if now - view.heard_at < self._replacement_s:
+        if now - view.known_at < self._replacement_s:
             return
         for partition in self._partitions.values():
-            trusted_at = max(view.trust.received_at, partition.opened_at)
-            if now - trusted_at < self._replacement_s:
-                continue
-            self._release_runs(partition, view, "runner-silent")
+            if now - partition.opened_at > self._replacement_s:
+                self._release_runs(partition, view, "runner-silent")
 
     def _release_runs(self, partition, view, reason, keep=frozenset()):
         """Frees the tasks placed at a runner whose runs are certainly over."""
--- a/packages/jobs/banyanwheel_jobs/transient.py
+++ b/packages/jobs/banyanwheel_jobs/transient.py
@@ -28,8 +28,8 @@
             return
         if job_id in self._transient.closing:
             # Runs of an earlier attempt must be over first.
-            self._transient.closing[job_id].successor = lambda: self.run_transient(
-                submission, reply, now, expires_at
+            self._transient.closing[job_id].successors.append(
+                lambda: self.run_transient(submission, reply, now, expires_at)
             )
             return
         job = self._transient.jobs.get(job_id)
@@ -89,8 +89,8 @@
         """Forgets a job that has ended once it has no run left."""
         if self._transient.closing.get(job.id) is job and not job.placed():
             del self._transient.closing[job.id]
-            if job.successor:
-                job.successor()
+            for hand_in in job.successors:
+                hand_in()
 
     def _expire_transient(self, now):
         for job in list(self._transient.jobs.values()):
--- a/packages/jobs/banyanwheel_jobs/worker_lists.py
+++ b/packages/jobs/banyanwheel_jobs/worker_lists.py
@@ -21,11 +21,14 @@
 
     def take_holdings(self, holdings, fence, acknowledged, sent_at, now):
         """Takes in the worker's lists, the answer to what was sent at ``sent_at``."""
-        self.read_clock(holdings.clock_ms, now)
-        if self._announced is None or (
-            holdings.incarnation != self._announced.incarnation
-        ):
+        if self._announced is None:
+            return
+        self._unanswered_since = None
+        if holdings.incarnation != self._announced.incarnation:
+            self._lose_life(holdings.incarnation, now)
             return
+        self._heard_at = now
+        self.read_clock(holdings.clock_ms, now)
         self._told = max(self._told, acknowledged)
         listed = set()
         for ended in holdings.ended:
@@ -35,12 +38,19 @@
             listed.add((running.task, running.run))
             self._take_listed_run(running, now)
         for run in list(self._runs.values()):
-            if run.key not in listed:
+            if run.key not in listed and holdings.complete:
                 self._check_missing(run, fence, sent_at, now)
         if not self.settled and not any(run.foreign for run in self._runs.values()):
             self.settled = True
             self.version += 1
 
+    def _lose_life(self, incarnation, now):
+        """Ends all runs: another life answers, which will send a heartbeat."""
+        self._note("worker:other-life", incarnation=incarnation)
+        self.settled = False
+        for run in list(self._runs.values()):
+            self._end_here(run, EndKind.LAPSED, "worker-restarted", now)
+
     def _take_listed_end(self, ended, now):
         key = (ended.task, ended.run)
         if not self._cursor.list(ended.number, key):
--- a/tests/jobs/test_transient.py
+++ b/tests/jobs/test_transient.py
@@ -182,3 +182,51 @@
     run(world, 2.0)
     assert states(world, "a" * 16) == ["completed"]
     assert world.faults == []
+
+
+def test_tasks_at_a_worker_without_a_sign_of_life_are_run_elsewhere(world):
+    """Looks without an answer must not be taken to extend its lease for good."""
+    world.run_s = 1.5
+    world.submit("owner-0", "a" * 16, tasks=1, deadline_s=20.0)
+    run(world, 0.2)
+    dead = next(worker for worker in world.workers.values() if worker.running)
+    dead.silent = True
+    world.lost_worker(dead)
+    dead.running = {}
+    run(world, 3.5)
+    assert states(world, "a" * 16) == ["completed"]
+    assert world.faults == []
+
+
+def test_tasks_of_a_runner_that_restarts_do_not_wait_for_its_worker(world):
+    """The next heartbeat of a worker may be seconds away."""
+    world.run_s = 0.5
+    world.submit("owner-0", "a" * 16, tasks=4, deadline_s=20.0)
+    run(world, 0.2)
+    world.start_runner("runner-0", announce=False)
+    run(world, 2.5)
+    assert states(world, "a" * 16) == ["completed"]
+    assert world.faults == []
+
+
+def test_a_life_that_seems_older_is_taken_once_the_former_one_is_silent(world):
+    """The clock may have been set back before the worker started again."""
+    worker, runner = world.workers["runner-0"], world.runners["runner-0"]
+    worker.life = -5
+    runner.announce(worker.announcement(), world.now)
+    assert runner.worker.incarnation == "runner-0@0"
+    world.now += 4.0
+    runner.announce(worker.announcement(), world.now)
+    assert runner.worker.incarnation == "runner-0@-5"
+
+
+def test_a_runner_that_has_not_seen_its_worker_says_nothing_of_its_runs(world):
+    """Those of its former process go on until the lease lapses."""
+    world.run_s = 5.0
+    world.submit("owner-0", "a" * 16, tasks=2, deadline_s=20.0)
+    run(world, 0.3)
+    holder = next(name for name in world.runners if world.workers[name].running)
+    world.start_runner(holder, announce=False)
+    run(world, 8.0)
+    assert world.faults == []
+    assert states(world, "a" * 16) == ["completed"]
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -60,6 +60,7 @@
     number: int = 0
     lapsed_at: float = 0.0
     stuck: bool = False
+    silent: bool = False
     lengths: dict = field(default_factory=dict)
     ended_at: dict = field(default_factory=dict)
 
@@ -240,11 +241,12 @@
         self.owners[name] = owner
         self.claims[name] = ()
 
-    def start_runner(self, name):
+    def start_runner(self, name, announce=True):
         self.generations[name] = self.generations.get(name, 0) + 1
         runner = Runner(PARTITIONS, LEASE_S, self.notes)
         self.runners[name] = runner
-        runner.announce(self.workers[name].announcement(), self.now)
+        if announce:
+            runner.announce(self.workers[name].announcement(), self.now)
 
     def incarnation(self, name):
         return f"{name}#{self.generations[name]}"
@@ -307,6 +309,10 @@
     def work(self, name, lose_start=False):
         """Starts and stops what is due, and looks at the worker's lists."""
         runner, worker = self.runners[name], self.workers[name]
+        if worker.silent:
+            runner.look_unanswered(self.now)
+            runner.deadline_ms(self.now)
+            return
         for run in runner.starts_due(self.now):
             outcome = worker.start(
                 run, runner.deadline_ms(self.now), runner.fence, self.run_s
