--- a/tests/jobs/test_state_machine.py
+++ b/tests/jobs/test_state_machine.py
@@ -1,6 +1,6 @@
 """Random faults between owners, runners, workers and the log."""
 
-from hypothesis import HealthCheck, settings, strategies as st
+from hypothesis import HealthCheck, Phase, settings, strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
@@ -85,9 +85,18 @@
         runner.announce(worker.announcement(), self.world.now)
 
     @precondition(lambda self: not self.frozen)
+    @rule(name=st.sampled_from(RUNNERS), announce=st.booleans())
+    def restart_runner(self, name, announce):
+        self.world.start_runner(name, announce)
+
     @rule(name=st.sampled_from(RUNNERS))
-    def restart_runner(self, name):
-        self.world.start_runner(name)
+    def silence_worker(self, name):
+        self.world.workers[name].silent = True
+
+    @rule()
+    def workers_answer_again(self):
+        for worker in self.world.workers.values():
+            worker.silent = False
 
     @precondition(lambda self: not self.frozen)
     @rule(name=st.sampled_from(OWNERS))
@@ -116,6 +125,7 @@
             return
         self.heal()
         self.thaw()
+        self.workers_answer_again()
         self.regain_log()
         self.world.run_s = 0.1
         self.pass_time(SECONDS_TO_RECOVER)
@@ -126,10 +136,11 @@
 
 
 Faults.TestCase.settings = settings(
-    max_examples=60,
+    max_examples=120,
     stateful_step_count=40,
     deadline=None,
     derandomize=True,
+    phases=[Phase.explicit, Phase.generate],
     database=None,
     suppress_health_check=list(HealthCheck),
 )
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -24,6 +24,7 @@
 PARTITIONS = 1
 LEASE_S = 1.0
 CONTACT_S = 0.2
+HEARTBEAT_S = 1.5  # of a worker
 CAPACITY = Resources(2_000, 1_000, 0)
 TASK = Resources(1_000, 100, 0)
 QUEUE = Queue("counter", "desk", 0, 3, 1.6, 60)
@@ -133,6 +134,8 @@
         return round(100 * (1 - left / self.lengths[key]))
 
     def _extend(self, deadline_ms):
+        if deadline_ms is None:
+            return
         most = self.world.now + LEASE_S
         asked = self.world.now + (deadline_ms - self.clock_ms) / 1000
         self.lease_until = max(self.lease_until, min(most, asked))
@@ -336,9 +339,12 @@
         for worker in self.workers.values():
             worker.settle()
         for name, runner in self.runners.items():
-            if name not in frozen:
-                runner.tick(self.now)
-                self.work(name)
+            if name in frozen:
+                continue
+            if self.tick_number % round(HEARTBEAT_S / 0.05) == 0:
+                runner.announce(self.workers[name].announcement(), self.now)
+            runner.tick(self.now)
+            self.work(name)
         for name, owner in self.owners.items():
             if name in frozen:
                 continue
