A dispatcher that starts waits for its runners before it refuses for want of one

Change: for 2.5 s after the start such jobs wait; what can't count any more is still refused. Test: test_a_dispatcher_that_starts_waits_for_its_runners, failed before. Not measured yet.

--- a/packages/daemon/banyanwheel_daemon/dispatcher.py
+++ b/packages/daemon/banyanwheel_daemon/dispatcher.py
@@ -136,7 +136,7 @@
         return (
             self._desk.routing is not None
             and not self.stopping
-            and self._owner.reaches_runners(boot_time())
+            and self._owner.usable_runners(boot_time()) > 0
         )
 
     def _configure(self, routing):
--- a/packages/jobs/banyanwheel_jobs/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owner.py
@@ -51,7 +51,7 @@
         self._transient = Partition.transient(0.0)
         self._views = {}
         self._waiting = set()  # jobs that may have tasks to place
-        self._reached_at = float("-inf")  # when a runner could be used
+        self._reached_at = None  # when a runner could be used
         self._canceled = OrderedDict()  # ids of transient jobs that callers canceled
 
     @property
@@ -247,6 +247,7 @@
 
     def tick(self, now):
         """Does what is due: resends, gives up silent runners, stores progress."""
+        self.reaches_runners(now)
         for view in self._views.values():
             self._resend(view, now)
             self._give_up_silent(view, now)
--- a/packages/jobs/banyanwheel_jobs/transient.py
+++ b/packages/jobs/banyanwheel_jobs/transient.py
@@ -8,6 +8,9 @@
 __all__ = ["TransientJobs"]
 
 UNREACHED_S = 0.5  # without a usable runner, jobs are refused
+# After all machines have lost power, a runner has its worker's first heartbeat by then;
+# what has come meanwhile may still count, as late.
+STARTUP_S = 2.5
 CANCELED_KEPT = 5_000  # far above the jobs canceled within their deadlines
 
 
@@ -15,9 +18,11 @@
     """Runs a caller's job from memory and answers at its end."""
 
     def reaches_runners(self, now):
-        """Whether any runner could be used a short while ago."""
+        """Whether any runner could be used a short while ago, or may soon be."""
         if any(view.usable(now) for view in self._views.values()):
             self._reached_at = now
+        elif self._reached_at is None:
+            self._reached_at = now + STARTUP_S
         return now - self._reached_at < UNREACHED_S
 
     def run_transient(self, submission, reply, now, expires_at):
--- a/tests/jobs/test_transient.py
+++ b/tests/jobs/test_transient.py
@@ -119,6 +119,20 @@
     assert states(world, "a" * 16) == ["not-stored"]
 
 
+def test_a_dispatcher_that_starts_waits_for_its_runners():
+    world = World(owners=0)
+    world.run_s = 0.5
+    world.start_owner("owner-0")
+    for name in world.runners:
+        world.cut("owner-0", name)
+    world.submit("owner-0", "a" * 16, deadline_s=20.0)
+    run(world, 1.0)
+    for name in world.runners:
+        world.cut("owner-0", name, cut=False)
+    run(world, 2.0)
+    assert states(world, "a" * 16) == ["completed"]
+
+
 def test_a_job_that_can_not_count_any_more_is_refused(world):
     """Its objective is 0.25 s, three times that counts as late."""
     world.run_s = 3.0
