--- a/packages/daemon/banyanwheel_daemon/caller_desk.py
+++ b/packages/daemon/banyanwheel_daemon/caller_desk.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from itertools import count
 
+import msgspec
+
 from banyanwheel_jobs.messages import Answer, Ask
 from banyanwheel_jobs.model import JobState, Submission, partition_of
 from banyanwheel_jobs.outcomes import RETRY_AFTER_MS, Outcome, Reply
@@ -158,7 +160,7 @@
                 self._watch(request)
             return
         number = next(self._numbers)
-        request.ask = _numbered(ask, number)
+        request.ask = msgspec.structs.replace(ask, number=number)
         self._requests[number] = request
         self._try(request)
 
@@ -276,14 +278,11 @@
     def _sure(self, ask, reply):
         """Lets "unknown job" pass only once the ownership was confirmed anew."""
 
-        def again(answer):
-            reply(answer)
-
         def checked(answer):
             if answer.outcome is not Outcome.UNKNOWN_JOB:
                 reply(answer)
             else:
-                self._ownership.confirm(lambda: self._owner.ask(ask.job_id, again))
+                self._ownership.confirm(lambda: self._owner.ask(ask.job_id, reply))
 
         return checked
 
@@ -318,15 +317,3 @@
         for partition in claims.partitions:
             self._owners[partition] = address
         self._counts[address] = _Counts(self._now(), claims.pending)
-
-
-def _numbered(ask, number):
-    return Ask(
-        number,
-        ask.verb,
-        ask.job_id,
-        ask.queue,
-        ask.spec,
-        ask.steps,
-        ask.received_ms,
-    )
--- a/packages/daemon/banyanwheel_daemon/job_settings.py
+++ b/packages/daemon/banyanwheel_daemon/job_settings.py
@@ -1,16 +1,13 @@
 """Settings of the roles ``dispatcher`` and ``runner``, read from a TOML file."""
 
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Annotated
 
 from msgspec import Meta
 
 from banyanwheel_core import checking
-from banyanwheel_core.errors import FindingsError
-from banyanwheel_core.findings import Finding
 
-from .settings import Address, Size
+from .settings import Address, Size, read_source
 
 __all__ = ["DispatcherSettings", "RunnerSettings"]
 
@@ -70,12 +67,7 @@
     @classmethod
     def from_file(cls, path):
         """Reads a file; raises FindingsError with every fault in it."""
-        try:
-            text = Path(path).read_text(encoding="utf-8")
-        except (OSError, UnicodeDecodeError) as error:
-            finding = Finding("file", f"cannot be read: {error}", str(path))
-            raise FindingsError([finding]) from error
-        return checking.check(checking.TomlSource.parse(text, str(path)), cls)
+        return checking.check(read_source(path), cls)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/daemon/banyanwheel_daemon/settings.py
+++ b/packages/daemon/banyanwheel_daemon/settings.py
@@ -25,6 +25,7 @@
     "LogServiceSettings",
     "Peers",
     "check",
+    "read_source",
 ]
 
 MAX_PORT = 65_535
@@ -175,7 +176,7 @@
     @classmethod
     def from_file(cls, path):
         """Reads a file; raises FindingsError with every fault in it."""
-        return checking.check(_read(path), cls)
+        return checking.check(read_source(path), cls)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -198,7 +199,7 @@
 def check(path):
     """Returns the findings of a settings file of either role."""
     try:
-        source = _read(path)
+        source = read_source(path)
         checking.check(source, _role_of(source))
     except FindingsError as error:
         return error.findings
@@ -218,7 +219,8 @@
     raise FindingsError([Finding("role", message, source.name)])
 
 
-def _read(path):
+def read_source(path):
+    """Reads a settings file; raises FindingsError where it can't be read."""
     try:
         text = Path(path).read_text(encoding="utf-8")
     except OSError as error:
