Review case 1: a task runs twice around a rolling restart

Shows TWICE with real processes: a runner and, 1.3 s later, the owner of its job get SIGTERM; the new owner starts the task again while it still runs.

--- /dev/null
+++ b/review/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform for the cases of the review."""
--- /dev/null
+++ b/review/standins/http.py
@@ -0,0 +1,41 @@
+"""Shared HTTP helpers of the stand-ins."""
+
+import json
+import socket
+import struct
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, ResponseStartLine, responses
+
+__all__ = ["listen", "reset", "send"]
+
+JSON = "application/json"
+
+
+def listen(handle, address):
+    """Serves ``handle(request)`` at ``(host, port)``."""
+    host, port = address
+    server = HTTPServer(handle)
+    server.listen(port, host)
+    return server
+
+
+def send(request, code, body, kind=JSON):
+    """Answers a request; a body that isn't bytes is encoded as JSON."""
+    stream = request.connection.stream
+    if stream is None or stream.closed():
+        return
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    fields = HTTPHeaders({"Content-Type": kind, "Content-Length": str(len(data))})
+    line = ResponseStartLine("", code, responses.get(code, "Unknown"))
+    request.connection.write_headers(line, fields, data)
+    request.connection.finish()
+
+
+def reset(request):
+    """Resets the connection of a request."""
+    stream = request.connection.stream
+    if stream is not None and not stream.closed():
+        linger = struct.pack("ii", 1, 0)
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        stream.close()
--- /dev/null
+++ b/review/standins/record.py
@@ -0,0 +1,80 @@
+"""What a case saw: one line an event, on one clock."""
+
+import time
+from dataclasses import dataclass, field
+
+__all__ = ["Interval", "Record", "overlaps"]
+
+
+@dataclass(frozen=True)
+class Interval:
+    """One run of a task at a worker; times in seconds of the record."""
+
+    task: str
+    run: int
+    worker: str
+    start: float
+    end: float
+    how: str
+
+
+@dataclass
+class Record:
+    """Events in the order in which they were seen, with seconds since the start."""
+
+    began: float = field(default_factory=time.monotonic)
+    lines: list = field(default_factory=list)
+    events: list = field(default_factory=list)
+
+    def now(self):
+        """Returns the seconds since the record began."""
+        return time.monotonic() - self.began
+
+    def add(self, kind, **fields):
+        """Adds an event and returns its time."""
+        now = self.now()
+        self.events.append((now, kind, fields))
+        shown = " ".join(f"{name}={value}" for name, value in fields.items())
+        self.lines.append(f"{now:8.3f} {kind} {shown}")
+        return now
+
+    def of(self, kind, **fields):
+        """Returns (time, fields) of the events of a kind that have these fields."""
+        return [
+            (now, found)
+            for now, name, found in self.events
+            if name == kind and fields.items() <= found.items()
+        ]
+
+    def intervals(self):
+        """Returns an Interval for each run that a worker started."""
+        ended = {}
+        for now, found in self.of("run-ended"):
+            key = (found["worker"], found["life"], found["task"], found["run"])
+            ended[key] = (now, found["how"])
+        result = []
+        for start, found in self.of("run-started"):
+            key = (found["worker"], found["life"], found["task"], found["run"])
+            end, how = ended.get(key, (self.now(), "still runs"))
+            result.append(
+                Interval(found["task"], found["run"], found["worker"], start, end, how)
+            )
+        return result
+
+    def write(self, path):
+        """Writes all lines to a file."""
+        path.write_text("\n".join(self.lines) + "\n", encoding="utf-8")
+
+
+def overlaps(intervals):
+    """Returns pairs of runs of one task that were at work at the same time."""
+    pairs = []
+    for place, first in enumerate(intervals):
+        for second in intervals[place + 1 :]:
+            if (
+                first.task == second.task
+                and first.start < second.end
+                and second.start < first.end
+            ):
+                pairs.append((first, second))
+    return pairs
