--- a/review/standins/system.py
+++ b/review/standins/system.py
@@ -139,8 +139,8 @@
                 "service": SERVICE,
                 "priority": 1,
                 "maxAttempts": 3,
-                "slackFactor": 3.0,
-                "completionTargetMs": 60_000,
+                "slackFactor": 1.6,
+                "completionTargetMs": 60,
             }
             for number in range(queues)
         ]
