Review case 4: jobs hang after a worker starts again under its id

Shows LOST with real processes: one worker crashes for 0.5 s; its runner polls the new life with the old fence, and is refused for good afterwards.

--- a/review/standins/record.py
+++ b/review/standins/record.py
@@ -1,9 +1,12 @@
 """What a case saw: one line an event, on one clock."""
 
+import json
 import time
 from dataclasses import dataclass, field
 
-__all__ = ["Interval", "Record", "overlaps"]
+__all__ = ["Interval", "Record", "overlaps", "stuck_jobs"]
+
+OPEN = ("queued", "running")
 
 
 @dataclass(frozen=True)
@@ -78,3 +81,36 @@
             ):
                 pairs.append((first, second))
     return pairs
+
+
+def stuck_jobs(record, idle_s):
+    """Returns lines on accepted jobs that are open while all workers idle.
+
+    A job counts if each answer on its state shows it as open, and no worker has run
+    anything for ``idle_s`` before the first of these answers.
+    """
+    accepted = {found["job"] for _, found in record.of("submit-answered", status=200)}
+    ends, answers = {}, {}
+    for run in record.intervals():
+        ends.setdefault(run.task.partition(".")[0], []).append(run.how)
+    for now, found in record.of("state"):
+        answers.setdefault(found["job"], []).append((now, _state_of(found)))
+    busy_until = max(run.end for run in record.intervals())
+    lines = []
+    for job in sorted(accepted & answers.keys()):
+        if any(state not in OPEN for _, state in answers[job]):
+            continue
+        if answers[job][0][0] - busy_until > idle_s:
+            now, state = answers[job][-1]
+            runs = ", ".join(sorted(ends.get(job, ()))) or "none"
+            lines.append(
+                f"LOST: {job} is {state} at {now:.3f}; no worker has run anything since"
+                f" {busy_until:.3f}; its runs: {runs}"
+            )
+    return lines
+
+
+def _state_of(found):
+    if found["status"] != 200:
+        return ""
+    return json.loads(found["body"]).get("state")
--- a/review/standins/system.py
+++ b/review/standins/system.py
@@ -310,6 +310,13 @@
         self.record.add("state", job=job_id, by=front.name, status=code, body=text)
         return code, text
 
+    async def ask_twice(self, jobs, pause_s):
+        """Asks for the state of jobs, and once more after a pause."""
+        front = self.fronts[0]
+        await asyncio.gather(*(self.state(front, job) for job in jobs))
+        await asyncio.sleep(pause_s)
+        await asyncio.gather(*(self.state(front, job) for job in jobs))
+
     # The end
 
     async def _close(self):
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -16,6 +16,7 @@
 
 HOLD_MAX_MS = 1_000
 HEARTBEAT_S = 1.5
+FIRST_HEARTBEAT_S = (0.02, 0.32)  # after the start, as on the users' bench
 ANSWER_S = 0.001
 STOP_S = 0.02  # at most 50 ms are allowed
 LATE_S = (2.0, 12.0)
@@ -89,7 +90,7 @@
     # Lives
 
     def start(self):
-        """Begins a life: listens, and announces itself at once."""
+        """Begins a life: listens, and announces itself soon."""
         self._lives += 1
         self._life = _Life(self._lives)
         self.draining = self.drain_acknowledged = False
@@ -277,6 +278,7 @@
     async def _beat(self, life):
         client = AsyncHTTPClient()
         host, port = self._address
+        await asyncio.sleep(random.uniform(*FIRST_HEARTBEAT_S))
         while True:
             life.sequence += 1
             draining = self.draining
