--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A worker crashes and starts again at once under its id."""
+"""Two workers crash, one after the other, and start again under their ids."""
 
 import asyncio
 import json
@@ -11,7 +11,8 @@
 RUN_MS = 1_800
 JOBS_PER_S = 6
 TRAFFIC_S = 6.0
-CRASH_AT_S = 3.0
+CRASHES = 2
+GAP_S = 2.0
 DOWN_S = 0.5
 FINISH_S = 14.0
 IDLE_S = 3.0
@@ -22,15 +23,15 @@
 
 
 async def play(record):
-    """Crashes a worker under steady traffic; asks for all jobs at the end."""
+    """Crashes two workers under steady traffic; asks for all jobs at the end."""
     async with System(record) as system:
         traffic = asyncio.ensure_future(_submit_steadily(system))
-        await asyncio.sleep(CRASH_AT_S)
-        if trouble():
-            worker = system.sides[0].worker
-            await worker.crash()
-            await asyncio.sleep(DOWN_S)
-            worker.start()
+        for side in system.sides[:CRASHES]:
+            await asyncio.sleep(GAP_S)
+            if trouble():
+                await side.worker.crash()
+                await asyncio.sleep(DOWN_S)
+                side.worker.start()
         jobs = await traffic
         await asyncio.sleep(FINISH_S)
         await system.ask_twice(jobs, IDLE_S)
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from pathlib import Path
@@ -25,6 +26,8 @@
     ``play(record)`` is a coroutine function that runs the system. ``check(record)``
     returns the breaches of the rule as lines.
     """
+    # A case that is asked to end leaves no process behind.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     record = Record()
     record.add("case", trouble=int(trouble()))
     try:
