Review case 3: tasks that ended done are started again beside a new life

A worker that starts again under its id gets starts before its runner knows of the new life. The polls until then carry the old life's ackCursor, which wipes out the new ends, and the runner reports the runs as lapsed: TWICE.

The stand-in of the worker records when its runner knows it, and takes its first heartbeat's delay as an option.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,57 +1,61 @@
-"""Two workers crash, one after the other, and start again under their ids."""
+"""Idle workers crash in turn and start again under their ids, before work comes."""
 
 import asyncio
 import json
 from pathlib import Path
 
 from review.standins.case import main, trouble
-from review.standins.record import stuck_jobs
+from review.standins.record import starts_after_done
 from review.standins.system import System, job_ids
 
-RUN_MS = 1_800
-JOBS_PER_S = 6
-TRAFFIC_S = 6.0
-CRASHES = 2
-GAP_S = 2.0
-DOWN_S = 0.5
-FINISH_S = 14.0
-IDLE_S = 3.0
+RUN_MS = 120
+JOBS_PER_WAVE = 8
+WAVE_S = 2.4
+CALM_WAVES = 2
+ROUNDS = 3  # of crashes, one before a wave
+DOWN_S = 0.3
+UP_S = 0.1  # until the next wave
+WORKERS_AFTER_S = 3.0  # the workers start when their runners listen
+FIRST_HEARTBEAT_S = (0.0, 0.5)
 BODY = {
     "spec": json.dumps({"run_ms": RUN_MS}),
-    "steps": [{"count": 4, "cpu": 3_100, "memMb": 64, "estimateMs": RUN_MS}],
+    "steps": [{"count": 8, "cpu": 3_100, "memMb": 64, "estimateMs": RUN_MS}],
 }
 
 
 async def play(record):
-    """Crashes two workers under steady traffic; asks for all jobs at the end."""
-    async with System(record) as system:
-        traffic = asyncio.ensure_future(_submit_steadily(system))
-        for side in system.sides[:CRASHES]:
-            await asyncio.sleep(GAP_S)
+    """Submits waves of jobs; before each, another worker crashes for a moment."""
+    async with System(
+        record, workers_after_s=WORKERS_AFTER_S, first_heartbeat_s=FIRST_HEARTBEAT_S
+    ) as system:
+        ids = job_ids(1)
+        for _ in range(CALM_WAVES):
+            await _submit_wave(system, ids)
+            await asyncio.sleep(WAVE_S)
+        for side in system.sides * ROUNDS:
+            await asyncio.sleep(WAVE_S - DOWN_S - UP_S)
             if trouble():
                 await side.worker.crash()
-                await asyncio.sleep(DOWN_S)
+            await asyncio.sleep(DOWN_S)
+            if trouble():
                 side.worker.start()
-        jobs = await traffic
-        await asyncio.sleep(FINISH_S)
-        await system.ask_twice(jobs, IDLE_S)
+            await asyncio.sleep(UP_S)
+            await _submit_wave(system, ids)
+        await asyncio.sleep(5)
 
 
-async def _submit_steadily(system):
-    """Returns the ids of the jobs."""
-    ids, jobs, calls = job_ids(1), [], []
-    for number in range(round(TRAFFIC_S * JOBS_PER_S)):
-        jobs.append(next(ids))
+async def _submit_wave(system, ids):
+    """Submits jobs that fill all workers, and waits until they are accepted."""
+    calls = []
+    for number in range(JOBS_PER_WAVE):
         front = system.fronts[number % len(system.fronts)]
-        calls.append(asyncio.ensure_future(system.submit(front, jobs[-1], BODY)))
-        await asyncio.sleep(1 / JOBS_PER_S)
+        calls.append(system.submit(front, next(ids), BODY))
     await asyncio.gather(*calls)
-    return jobs
 
 
 def check(record):
-    """Returns the jobs that stay open while nothing of them runs and workers idle."""
-    return stuck_jobs(record, IDLE_S)
+    """Returns the tasks that were started again after they had ended ``done``."""
+    return starts_after_done(record)
 
 
 if __name__ == "__main__":
--- a/review/standins/record.py
+++ b/review/standins/record.py
@@ -4,7 +4,7 @@
 import time
 from dataclasses import dataclass, field
 
-__all__ = ["Interval", "Record", "overlaps", "stuck_jobs"]
+__all__ = ["Interval", "Record", "overlaps", "starts_after_done", "stuck_jobs"]
 
 OPEN = ("queued", "running")
 
@@ -16,6 +16,7 @@
     task: str
     run: int
     worker: str
+    life: int
     start: float
     end: float
     how: str
@@ -60,7 +61,15 @@
             key = (found["worker"], found["life"], found["task"], found["run"])
             end, how = ended.get(key, (self.now(), "still runs"))
             result.append(
-                Interval(found["task"], found["run"], found["worker"], start, end, how)
+                Interval(
+                    found["task"],
+                    found["run"],
+                    found["worker"],
+                    found["life"],
+                    start,
+                    end,
+                    how,
+                )
             )
         return result
 
@@ -83,6 +92,39 @@
     return pairs
 
 
+def starts_after_done(record):
+    """Returns lines on starts after another run of the task had ended ``done``.
+
+    An end counts once it is taken note of, unless the worker's lease lapsed between.
+    """
+    runs = {}
+    for run in record.intervals():
+        runs.setdefault(run.task, []).append(run)
+    lines = []
+    for now, found in record.of("end-noted", how="done"):
+        life = found["worker"], found["life"]
+        key = *life, found["run"]
+        same_task = runs[found["task"]]
+        (done,) = [run for run in same_task if (run.worker, run.life, run.run) == key]
+        if _lapsed(record, life, done.end, now):
+            continue
+        lines.extend(
+            f"TWICE: {done.task} run {done.run} ended done on {done.worker} at"
+            f" {done.end:.3f}, taken note of at {now:.3f}; run {later.run} started on"
+            f" {later.worker} at {later.start:.3f} ({later.how})"
+            for later in same_task
+            if later.start > done.end
+        )
+    return lines
+
+
+def _lapsed(record, life, since, until):
+    """Returns whether a worker's lease lapsed in one life in a span of time."""
+    worker, number = life
+    lapses = record.of("lease-lapsed", worker=worker, life=number)
+    return any(since <= now <= until for now, _ in lapses)
+
+
 def stuck_jobs(record, idle_s):
     """Returns lines on accepted jobs that are open while all workers idle.
 
--- a/review/standins/system.py
+++ b/review/standins/system.py
@@ -73,11 +73,14 @@
     Use it as an asynchronous context: it ends all that it has started.
     """
 
-    def __init__(self, record, *, fronts=3, sides=6, zones=3, cpu=32_000):
+    def __init__(
+        self, record, *, fronts=3, sides=6, zones=3, workers_after_s=0.0, **worker
+    ):
         self.record = record
         self._sizes = {"front": fronts, "side": sides}
         self._zones = zones
-        self._cpu = cpu
+        self._workers_after_s = workers_after_s
+        self._worker = worker  # options of the workers
         self._roles = tomllib.loads(
             (ROOT / "deploy/system.toml").read_text(encoding="utf-8")
         )["roles"]
@@ -115,6 +118,7 @@
         self.log.serve(self._log_address)
         for machine in self.machines.values():
             await self.launch(machine)
+        await asyncio.sleep(self._workers_after_s)
         for number, machine in enumerate(self.sides):
             machine.worker = Worker(
                 f"w{number + 1}",
@@ -123,7 +127,7 @@
                 machine.address("control"),
                 ["a", f"r{number // 3 + 1}"],
                 self.record,
-                cpu=self._cpu,
+                **self._worker,
             )
             machine.worker.start()
         await self._wait_ready()
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -16,7 +16,7 @@
 
 HOLD_MAX_MS = 1_000
 HEARTBEAT_S = 1.5
-FIRST_HEARTBEAT_S = (0.02, 0.32)  # after the start, as on the users' bench
+FIRST_HEARTBEAT_S = (0.02, 0.32)  # after the start; on the users' bench 0 to 0.5
 ANSWER_S = 0.001
 STOP_S = 0.02  # at most 50 ms are allowed
 LOOK_S = 0.005
@@ -44,6 +44,7 @@
     born: int = field(default_factory=lambda: int(time.time() * 1000))
     began: float = field(default_factory=time.monotonic)
     sequence: int = 0
+    known: bool = False  # to its runner
     fence: int = 0
     deadline_ms: int = 0
     leased: bool = False
@@ -73,6 +74,7 @@
         self._labels = labels
         self._record = record
         self._cpu = options.get("cpu", 32_000)
+        self._first_heartbeat_s = options.get("first_heartbeat_s", FIRST_HEARTBEAT_S)
         self._life = None
         self._lives = 0
         self._server = None
@@ -262,7 +264,7 @@
     async def _beat(self, life):
         client = AsyncHTTPClient()
         host, port = self._address
-        await asyncio.sleep(random.uniform(*FIRST_HEARTBEAT_S))
+        await asyncio.sleep(random.uniform(*self._first_heartbeat_s))
         while True:
             life.sequence += 1
             beat = {
@@ -287,6 +289,9 @@
                     body=json.dumps(beat),
                     request_timeout=1.0,
                 )
+                if not life.known:
+                    life.known = True
+                    self._record.add("worker-known", worker=self.name, life=life.number)
             await asyncio.sleep(HEARTBEAT_S)
 
 
