Keep a stopping runner on the list of members until its runs are over

Cause: RunnerRole._stop_runs removed the runner from the list of members at the beginning of its stop, while its runs went on. The dispatcher that took the partition over contacts the runners on that list only, so it counted the partition as surveyed and placed the task again. Evidence, from the logs of the new scenario: runner:gone 1.1 s before partition:opened, partition:surveyed by reports 35 ms after it, task:placed for the task whose run ended 1.8 s later.

Now a runner leaves the list as its stop ends, and only without runs and ends. Until then the new owner has its view, hears its report and adopts its runs; one that ends with runs left counts as silent, and the owner waits for its authority. The removal is awaited for up to 0.3 s, it was sent without waiting before.

--- a/packages/daemon/banyanwheel_daemon/runner.py
+++ b/packages/daemon/banyanwheel_daemon/runner.py
@@ -1,6 +1,7 @@
 """The ``runner`` role: all access to the worker on its machine goes through it."""
 
 import asyncio
+import contextlib
 
 from banyanwheel_jobs.messages import (
     EndsAcknowledged,
@@ -31,6 +32,7 @@
 CONTACT_TIMEOUT_S = 5.0  # without heartbeats for longer, the process registers again
 STOP_RUNS_AHEAD_S = 1.5  # before the shutdown deadline, remaining runs are stopped
 STOP_MARGIN_S = 0.7  # between the shutdown deadline and the platform's kill
+REMOVAL_TIMEOUT_S = 0.3  # for the log to store that this process has left
 
 
 class RunnerRole(Role):
@@ -95,17 +97,29 @@
     async def _stop_runs(self):
         """Waits for runs to end and be acknowledged, then stops the rest."""
         deadline = boot_time() + self.settings.process.grace_s - STOP_MARGIN_S
-        self._registration.cancel()
         self._runner.stop()
         self._report_to_all()
-        self.spawn(self._members.remove(self.settings.process.advertised_address))
         while self._runner.busy and boot_time() < deadline:
             if boot_time() > deadline - STOP_RUNS_AHEAD_S:
                 self._runner.stop_all()
             await asyncio.sleep(TICK_INTERVAL_S)
+        await self._unregister()
         self._heartbeats.stop()
         self._peers.close(linger_ms=100)
 
+    async def _unregister(self):
+        """Leaves the list of members, unless runs or ends are left.
+
+        A new owner looks for the runs of its jobs only at the runners on that list, and
+        takes a listed one that is gone for silent: it waits until the runs are over.
+        """
+        self._registration.cancel()
+        if self._runner.busy:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(REMOVAL_TIMEOUT_S):
+                await self._members.remove(self.settings.process.advertised_address)
+
     # The worker
 
     def _handle_worker_heartbeat(self, announcement):
--- a/tests/features/stopping.feature
+++ b/tests/features/stopping.feature
@@ -44,3 +44,17 @@
     And every process is killed at once and started again
     Then the job is completed at dispatcher-1
     And every promise is kept
+
+  # Guards against a second run of a task whose runner is stopping while its job moves.
+  @graceful-stop @at-most-once
+  Scenario: A runner with tasks stops, and then the owner of their job
+    Given a system of 2 dispatchers and 3 runners
+    When a stored job of 6 tasks of 3000 ms is submitted to dispatcher-1
+    And 6 tasks have started
+    And a runner with tasks is asked to stop
+    And 1 seconds pass
+    And the owner is asked to stop
+    And the owner has ended well
+    Then the job is completed at the other dispatcher
+    And each task has started once
+    And every promise is kept
--- a/tests/promises/conftest.py
+++ b/tests/promises/conftest.py
@@ -44,7 +44,7 @@
 LOAD_CALLERS = 4
 TRANSIENT_CALLERS = 2  # stored jobs get no answer while the log is away
 PUBLISH_TRIES = 20
-WHO = r"the owner|the placer|an entry|dispatcher-\d|runner-\d"
+WHO = r"the owner|the placer|an entry|a runner with tasks|dispatcher-\d|runner-\d"
 
 
 LOGGED_LINES = 40  # of each daemon, shown where a step fails
--- a/tests/promises/world.py
+++ b/tests/promises/world.py
@@ -30,6 +30,7 @@
     answers: list = field(default_factory=list)
     owner: str = ""
     entry: str = ""
+    runner: str = ""
     worker: str = ""
     jobs: int = 0
     canceled: list = field(default_factory=list)
@@ -94,10 +95,16 @@
         if who == "an entry":
             self.entry = self.entry or self._wait_for_entry()
             return self.entry
+        if who == "a runner with tasks":
+            self.runner = self.runner or self._busy_runner()
+            return self.runner
         if who == "the placer":
             return next(name for name in self.dispatchers if self._hosts_job(name))
         return who
 
+    def _busy_runner(self):
+        return self.starts(self.job_id)[0].process.replace("worker", "runner")
+
     def _wait_for_entry(self):
         """Returns a dispatcher that forwards its jobs; all place some at startup."""
         count = len(self.dispatchers) - CELL_PLACERS
