Let a late removal from the list of members hide no later process

A new owner looks for runs at the listed runners only, and the log may carry out a call without an answer seconds later. A stopped runner's removal then hides the runner that was started in its place, which registers again only when no dispatcher contacts it: as long as its old owner does, a new one would start its tasks again.

Cause: Members.remove appended the removal without a condition. Now it reads the list's end and appends at that offset, again if others have registered meanwhile, for 0.5 s at most. A dispatcher waits for its removal in place of 0.1 s.

Relative, left: a late registration lists a process that has ended. It counts as silent: surveys take longer, nothing runs twice.

--- a/packages/daemon/banyanwheel_daemon/dispatcher.py
+++ b/packages/daemon/banyanwheel_daemon/dispatcher.py
@@ -46,7 +46,6 @@
 HEARTBEAT_INTERVAL_S = 0.2
 # The load balancer drops a dispatcher after two failed probes, one second apart.
 BALANCER_DRAIN_S = 2.5
-REMOVAL_TIME_S = 0.1  # for the log to store that this process has left
 STOP_MARGIN_S = 1.0  # left when a stop completes, before the platform's kill
 
 
@@ -209,12 +208,14 @@
             await asyncio.sleep(TICK_INTERVAL_S)
         # Until now the others had to send their claims here.
         self._registration.cancel()
-        self.spawn(self._members.remove(self.settings.process.advertised_address))
+        removal = self.spawn(
+            self._members.remove(self.settings.process.advertised_address)
+        )
         self._gateway.fail_open_requests()
         self._hosted.fail_all(boot_time())
         self._callers.stop()
         await self._callers.close()
-        await asyncio.sleep(REMOVAL_TIME_S)
+        await removal
         self._peers.close(linger_ms=100)
 
     def _is_ready(self):
--- a/packages/daemon/banyanwheel_daemon/members.py
+++ b/packages/daemon/banyanwheel_daemon/members.py
@@ -9,7 +9,7 @@
 
 from banyanwheel_core.drains import DrainKind
 from banyanwheel_jobs.cells.cell import Host
-from banyanwheel_jobs.ports import LogTruncated, LogUnavailable
+from banyanwheel_jobs.ports import AppendOutcome, LogTruncated, LogUnavailable
 
 __all__ = ["Member", "Members"]
 
@@ -18,6 +18,7 @@
 RETRY_DELAY_S = 0.3
 CHECK_INTERVAL_S = 1.0
 MAX_UNKNOWN_CHECKS = 3  # in a row, before a process registers again
+REMOVAL_TIMEOUT_S = 0.5  # a process that stops waits no longer for its removal
 COALESCING_S = 0.05  # many processes that start together change the list at once
 _DRAIN_PREFIX = "drain/"
 _DRAINED = b"\x01"  # any value will do: the log drops a key without one
@@ -70,7 +71,6 @@
     async def keep_registered(self, address, member, is_known):
         """Adds this process to the list, and again whenever the system forgets it.
 
-        A removal by its predecessor may reach the log after the registration.
         ``is_known()`` tells whether the system knows the process at present.
         """
         while True:
@@ -82,8 +82,21 @@
             self._event_log("process:not-listed", address=address)
 
     async def remove(self, address):
-        """Removes this process from the list; makes a single attempt."""
-        await self._append([(address, None)])
+        """Removes this process from the list, within ``REMOVAL_TIMEOUT_S`` if at all.
+
+        The log may carry the removal out late, after the next process at ``address``
+        has registered; the condition on the list's end then keeps it from effect.
+        """
+        removal = [(address, None)]
+        try:
+            async with asyncio.timeout(REMOVAL_TIMEOUT_S):
+                outcome = AppendOutcome.MOVED
+                while outcome is AppendOutcome.MOVED:
+                    _, end = await self._log.newest(TOPIC, PARTITION)
+                    result = await self._log.append(TOPIC, PARTITION, removal, at=end)
+                    outcome = result.outcome
+        except (LogUnavailable, TimeoutError) as error:
+            self._event_log("log:unavailable", call="remove", fault=str(error))
 
     async def drain(self, kind, name, drained):
         """Adds or lifts a drain; returns whether that changes anything.
--- a/packages/daemon/banyanwheel_daemon/runner.py
+++ b/packages/daemon/banyanwheel_daemon/runner.py
@@ -1,7 +1,6 @@
 """The ``runner`` role: all access to the worker on its machine goes through it."""
 
 import asyncio
-import contextlib
 
 from banyanwheel_jobs.messages import (
     EndsAcknowledged,
@@ -32,7 +31,6 @@
 CONTACT_TIMEOUT_S = 5.0  # without heartbeats for longer, the process registers again
 STOP_RUNS_AHEAD_S = 1.5  # before the shutdown deadline, remaining runs are stopped
 STOP_MARGIN_S = 0.7  # between the shutdown deadline and the platform's kill
-REMOVAL_TIMEOUT_S = 0.3  # for the log to store that this process has left
 
 
 class RunnerRole(Role):
@@ -114,11 +112,8 @@
         takes a listed one that is gone for silent: it waits until the runs are over.
         """
         self._registration.cancel()
-        if self._runner.busy:
-            return
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(REMOVAL_TIMEOUT_S):
-                await self._members.remove(self.settings.process.advertised_address)
+        if not self._runner.busy:
+            await self._members.remove(self.settings.process.advertised_address)
 
     # The worker
 
--- a/tests/daemon/test_members.py
+++ b/tests/daemon/test_members.py
@@ -2,14 +2,22 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from banyanwheel_daemon import members as members_module
 from banyanwheel_daemon.members import Member, Members
 from banyanwheel_daemon.role import DISPATCHER, RUNNER
+from banyanwheel_jobs.ports import (
+    AppendOutcome,
+    AppendResult,
+    KeyedRecord,
+    LogUnavailable,
+)
 from tests.jobs.world import EventRecorder
 
 ADDRESS = "10.0.0.1:7000"
+OTHER = "10.0.0.2:7000"
 
 
 class LogRecorder:
@@ -50,10 +58,78 @@
 
 
 def test_a_process_that_the_system_has_forgotten_registers_again():
-    """A removal by its predecessor reached the log after its registration."""
     assert registrations(lambda: False, checks=20) > 1
 
 
+class ConditionalLog:
+    """A log that can leave an append unanswered, and carry it out later."""
+
+    def __init__(self):
+        self.records = []
+        self.answers = True
+        self.registers_meanwhile = []  # before the next append
+        self._late = []
+
+    async def newest(self, topic, partition):
+        newest = dict(self.records)
+        records = [KeyedRecord(key, value, 0) for key, value in newest.items() if value]
+        return records, len(self.records)
+
+    async def append(self, topic, partition, records, *, at=None, **options):
+        self.records += self.registers_meanwhile
+        self.registers_meanwhile = []
+        if not self.answers:
+            self._late.append((records, at))
+            raise LogUnavailable("no answer", sent=True)
+        return self._carry_out(records, at)
+
+    def _carry_out(self, records, at):
+        if at not in (None, len(self.records)):
+            return AppendResult(AppendOutcome.MOVED)
+        self.records += records
+        return AppendResult(AppendOutcome.STORED)
+
+    def carry_out_late(self):
+        for records, at in self._late:
+            self._carry_out(records, at)
+
+
+async def listed(members):
+    await members.refresh()
+    return list(members.known)
+
+
+def test_a_removal_that_is_carried_out_late_leaves_the_next_process_listed():
+    """A new owner would not find the runs of a runner that its predecessor hides."""
+
+    async def run():
+        log = ConditionalLog()
+        members = Members(log, EventRecorder())
+        await members.register(ADDRESS, Member(RUNNER, "dc"))
+        log.answers = False
+        await members.remove(ADDRESS)
+        log.answers = True
+        await members.register(ADDRESS, Member(RUNNER, "dc"))
+        log.carry_out_late()
+        return await listed(members)
+
+    assert asyncio.run(run()) == [ADDRESS]
+
+
+def test_a_process_is_removed_though_others_register_meanwhile():
+    async def run():
+        log = ConditionalLog()
+        members = Members(log, EventRecorder())
+        await members.register(ADDRESS, Member(RUNNER, "dc"))
+        log.registers_meanwhile = [
+            (OTHER, msgspec.msgpack.encode(Member(RUNNER, "dc")))
+        ]
+        await members.remove(ADDRESS)
+        return await listed(members)
+
+    assert asyncio.run(run()) == [OTHER]
+
+
 def test_members_are_hosts_by_role():
     members = Members(None, EventRecorder())
     members.known["a:1"] = Member(DISPATCHER, "dc-1", 2.0)
