Address replies to the incarnation that asked

Cause: the reply to a forwarded request named the address of the dispatcher that had asked, not its incarnation, and every process numbers its requests from 1. Replies that waited for the connection reached the next process, which took them for answers to its own requests of the same numbers, about other jobs.

RequestGateway.handle_ask and Operations.handle_inspect now reply to the (address, incarnation) that asked, as HostedJobs does. The transport of any other incarnation rejects the envelope, so no number of another life is ever looked up.

Relatives: rows for another dispatcher's command had the fault too, and are mended here. Replies and messages about transient jobs, reports, and what is sent to a runner that has reported named the incarnation before. Requests themselves are for any incarnation on purpose: the next owner serves them.

--- a/packages/daemon/banyanwheel_daemon/dispatcher.py
+++ b/packages/daemon/banyanwheel_daemon/dispatcher.py
@@ -85,6 +85,7 @@
             self._clocks,
             self.event_log,
             send=self._send_to_dispatcher,
+            send_reply=self._send_to_entry,
             ownership=self._ownership,
             transient=self._transient,
             numbers=numbers,
@@ -268,6 +269,7 @@
                 self.settings.log.partitions,
                 others=self._contacts.other_dispatchers,
                 send=self._send_to_dispatcher,
+                send_reply=self._send_to_entry,
             )
         return self._operations
 
@@ -294,14 +296,14 @@
                 if view is not None:
                     self._handle_report(view, incarnation, message)
             case ForwardedRequest():
-                self._gateway.handle_ask(address, message)
+                self._gateway.handle_ask((address, incarnation), message)
             case ForwardedReply():
                 self._gateway.handle_reply(message)
             case Claims():
                 self._placers.hear(address, incarnation, message, boot_time())
                 self._gateway.handle_claims(address, message)
             case InspectionRequest():
-                self._get_operations().handle_inspect(address, message)
+                self._get_operations().handle_inspect((address, incarnation), message)
             case InspectionResult():
                 self._get_operations().handle_inspection(
                     address, message, self.event_log
--- a/packages/daemon/banyanwheel_daemon/request_gateway.py
+++ b/packages/daemon/banyanwheel_daemon/request_gateway.py
@@ -43,7 +43,8 @@
     to the dispatcher that owns the job's partition.
 
     ``clocks`` are a function for the monotonic time in seconds and one for the wall
-    clock in milliseconds. ``send(address, message)`` sends to another dispatcher.
+    clock in milliseconds. ``send(address, message)`` sends to another dispatcher,
+    ``send_reply(entry, message)`` to one life of it, an (address, incarnation).
     ``ownership.stalled(partition)`` returns whether the log doesn't answer for a
     partition; ``ownership.call_when_confirmed(callback)`` calls back once the log has
     confirmed again which partitions are assigned to this dispatcher. ``transient`` are
@@ -59,6 +60,7 @@
         event_log,
         *,
         send,
+        send_reply,
         ownership,
         transient,
         numbers,
@@ -68,6 +70,7 @@
         self._now, self._wall_ms = clocks
         self._event_log = event_log
         self._send = send
+        self._send_reply = send_reply
         self._ownership = ownership
         self._owner_addresses = {}  # by partition
         self._pending_counts = {}  # by address of the dispatcher
@@ -330,15 +333,19 @@
 
     # Messages from other dispatchers
 
-    def handle_ask(self, address, ask):
-        """Serves a request that another dispatcher forwarded."""
+    def handle_ask(self, entry, ask):
+        """Serves a request that another dispatcher forwarded.
+
+        ``entry`` is its (address, incarnation). The reply is for that incarnation only:
+        the next one uses the same numbers for requests of its own.
+        """
         if ask.verb == "cancel-transient":
             self._owner.cancel_transient(ask.job_id)
             return
 
         def reply(answer):
-            self._send(
-                address,
+            self._send_reply(
+                entry,
                 ForwardedReply(
                     ask.number, answer.outcome, answer.state, answer.retry_ms
                 ),
--- /dev/null
+++ b/tests/daemon/test_dispatcher.py
@@ -0,0 +1,69 @@
+"""What a dispatcher sends for the messages that it receives."""
+
+import asyncio
+
+import pytest
+
+from banyanwheel_daemon.addresses import Address
+from banyanwheel_daemon.context import Environment
+from banyanwheel_daemon.dispatcher import Dispatcher
+from banyanwheel_daemon.settings import Callers, DispatcherSettings, Log, Process
+from banyanwheel_jobs.messages import (
+    ForwardedReply,
+    ForwardedRequest,
+    InspectionRequest,
+    InspectionResult,
+)
+from banyanwheel_jobs.model import Queue, Resources, Step
+
+ANYWHERE = Address("127.0.0.1:0")
+JOB = "a" * 16
+QUEUE = Queue("counter", "desk", 0, 3, 1.6, 60)
+STEPS = (Step(1, Resources(1_000), 100),)
+REQUESTS = (
+    (ForwardedRequest(7, "state", JOB), ForwardedReply),
+    (ForwardedRequest(7, "cancel", JOB), ForwardedReply),
+    (ForwardedRequest(7, "submit", JOB, QUEUE, "", STEPS), ForwardedReply),
+    (InspectionRequest(7, "show queues"), InspectionResult),
+    (InspectionRequest(7, "show nothing"), InspectionResult),
+)
+
+
+class PeersRecorder:
+    """Keeps (address, incarnation, message) of all that is sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, address, message, incarnation=""):
+        self.sent.append((address, incarnation, message))
+
+
+def new_dispatcher():
+    settings = DispatcherSettings(
+        process=Process(
+            name="one", data_centre="dc", address=Address("127.0.0.1:7000")
+        ),
+        log=Log(address=Address("127.0.0.1:1"), partitions=4),
+        callers=Callers(listen=ANYWHERE, ready=ANYWHERE),
+    )
+    dispatcher = Dispatcher(settings, Environment(None, None))
+    dispatcher._peers = PeersRecorder()
+    return dispatcher
+
+
+@pytest.mark.parametrize(("request_", "kind"), REQUESTS)
+def test_a_reply_is_for_the_incarnation_that_asked(request_, kind):
+    """A restarted dispatcher took replies to its predecessor for its own.
+
+    Both number their requests from 1: a job that no owner had stored was accepted.
+    """
+
+    async def run():
+        dispatcher = new_dispatcher()
+        dispatcher._receive("b:1", "earlier", request_)
+        return dispatcher._peers.sent
+
+    ((address, incarnation, message),) = asyncio.run(run())
+    assert (address, incarnation, type(message)) == ("b:1", "earlier", kind)
+    assert message.number == 7
--- a/tests/daemon/test_operations.py
+++ b/tests/daemon/test_operations.py
@@ -43,6 +43,7 @@
             4,
             others=lambda: list(answers),
             send=lambda address, message: sent.append((address, message)),
+            send_reply=None,
         )
         running = asyncio.ensure_future(operations.execute(parse(text)))
         await asyncio.sleep(0)
@@ -114,17 +115,18 @@
 
 
 def test_a_question_of_another_dispatcher_is_answered_with_rows_or_a_fault():
-    sent = []
+    sent, entry = [], ("a:1", "life")
     operations = Operations(
         FixedRows([job("a", 1)]),
         None,
         None,
         4,
         others=list,
-        send=lambda address, message: sent.append((address, message)),
+        send=None,
+        send_reply=lambda entry, message: sent.append((entry, message)),
     )
-    operations.handle_inspect("a:1", InspectionRequest(3, "show jobs"))
-    operations.handle_inspect("a:1", InspectionRequest(4, "show nothing"))
+    operations.handle_inspect(entry, InspectionRequest(3, "show jobs"))
+    operations.handle_inspect(entry, InspectionRequest(4, "show nothing"))
     (_, good), (_, bad) = sent
     assert Inspector.decode(good.rows) == [job("a", 1)]
     assert (bad.number, bad.rows) == (4, b"")
--- a/tests/daemon/test_operator_server.py
+++ b/tests/daemon/test_operator_server.py
@@ -77,7 +77,13 @@
             lambda partition: False,
         )
         self.operations = Operations(
-            self.inspector, self.gateway, self.members, 1, others=list, send=None
+            self.inspector,
+            self.gateway,
+            self.members,
+            1,
+            others=list,
+            send=None,
+            send_reply=None,
         )
 
     def store(self, partition):
