Let the fence of a runner rise over the lives of its worker

Cause: until the new life's first heartbeat its runner called it with the fence of the life before, a reading of that life's clock, and a worker keeps the highest fence that it has seen. With the heartbeat Runner._begin_incarnation took the new, low clock as its fence, and every call was rejected from then on. Evidence, from the runner's log in the new scenario on the old code: hold: HTTP 409 every 54 ms until the scenario's end. Owners pass over the ends in reports of a runner that isn't reconciled, and don't take it for silent.

The fence is now the worker's time, its birth and its clock, and never falls within a process: it rises over lives of the worker and processes of the runner.

Relatives: a new process of the runner took its fence from the low clock too, and would have hung the same way if the one before it had shown an older life's fence to the present one. If the wall clock was set back in between, its time is too low as well, so a rejected poll raises the fence by steps that double. A start whose new connection meets a higher fence is sent again and isn't in doubt.

--- a/packages/daemon/banyanwheel_daemon/runner.py
+++ b/packages/daemon/banyanwheel_daemon/runner.py
@@ -9,7 +9,12 @@
     StartTasks,
     StopTasks,
 )
-from banyanwheel_jobs.ports import StartOutcome, WorkerReplaced, WorkerUnavailable
+from banyanwheel_jobs.ports import (
+    StartOutcome,
+    WorkerFenced,
+    WorkerReplaced,
+    WorkerUnavailable,
+)
 from banyanwheel_jobs.runners.runner import Runner
 from banyanwheel_platform.heartbeats import HeartbeatServer
 from banyanwheel_platform.log import LogClient
@@ -177,6 +182,8 @@
             return True
         except WorkerUnavailable as error:
             if client is self._client:
+                if isinstance(error, WorkerFenced):
+                    runner.record_fenced_poll(fence)
                 runner.record_unanswered_poll(sent_at)
                 self.event_log("worker:unavailable", call="hold", fault=str(error))
                 self.event_log.count("banyanwheel.retries", "worker-hold")
--- a/packages/jobs/banyanwheel_jobs/ports.py
+++ b/packages/jobs/banyanwheel_jobs/ports.py
@@ -23,6 +23,7 @@
     "StartOutcome",
     "WorkerHeartbeat",
     "WorkerEnd",
+    "WorkerFenced",
     "WorkerPort",
     "WorkerReplaced",
     "WorkerRun",
@@ -56,6 +57,10 @@
     """The worker did not return a valid answer; the call may still take effect."""
 
 
+class WorkerFenced(WorkerUnavailable):
+    """The worker has seen a higher fence; the call was not carried out."""
+
+
 class WorkerReplaced(WorkerUnavailable):
     """Another incarnation of the worker answers; the call was not made."""
 
--- a/packages/jobs/banyanwheel_jobs/runners/runner.py
+++ b/packages/jobs/banyanwheel_jobs/runners/runner.py
@@ -26,6 +26,7 @@
 POLL_RETRY_S = 0.05
 # Longer than a poll takes; afterwards the lease is no longer renewed.
 WORKER_TIMEOUT_S = 0.3
+FENCE_STEP_MS = 500  # doubled at each rejection of the fence
 INCARNATION_TIMEOUT_S = 3.2  # two heartbeat intervals of a worker
 
 
@@ -55,6 +56,7 @@
         # Time of the last message from the worker's current incarnation.
         self._last_seen_at = float("-inf")
         self._worker_clock = (0, 0.0)  # ms on its clock, and when read
+        self._fence_step_ms = FENCE_STEP_MS
         self._owners_to_notify = set()  # of ends not reported yet
         self.reconciled = False
         self.stopping = False
@@ -151,10 +153,11 @@
         self._pending_lapse = None
         self._lease_expires_at = 0.0
         self._reset_unanswered_polls()
+        self._fence_step_ms = FENCE_STEP_MS
         self._last_seen_at = now
         self._slowness = 0.0
         self._worker_clock = (heartbeat.clock_ms, now)
-        self.fence = max(1, heartbeat.clock_ms)
+        self.raise_fence()
         self.reconciled = False
 
     def record_worker_left(self, now):
@@ -178,10 +181,25 @@
             self._end_locally(run, EndKind.LAPSED, reason, now)
 
     def raise_fence(self):
-        """Raises the fence; a worker that has seen it rejects all earlier requests."""
-        self.fence = max(self.fence + 1, self._worker_clock[0])
+        """Raises the fence; a worker that has seen it rejects all earlier requests.
+
+        It is the worker's time, Unix ms by its steady clock, so that it rises over the
+        worker's incarnations and over processes of this runner as well.
+        """
+        worker_time_ms = self._worker_heartbeat.born_ms + self._worker_clock[0]
+        self.fence = max(self.fence + 1, worker_time_ms)
         return self.fence
 
+    def record_fenced_poll(self, fence):
+        """Raises the fence further, since the worker has seen one above ``fence``.
+
+        An earlier process of this runner used it, before the worker's wall clock was
+        set back.
+        """
+        if fence == self.fence:
+            self._fence_step_ms *= 2
+            self.fence += self._fence_step_ms
+
     def update_worker_clock(self, clock_ms, now):
         """Records a reading of the worker's clock, unless it is out of date."""
         if clock_ms >= self._worker_clock[0]:
--- a/tests/features/workers.feature
+++ b/tests/features/workers.feature
@@ -78,3 +78,16 @@
     And a stored job of 12 tasks of 50 ms is submitted to dispatcher-1
     Then the job is completed at dispatcher-1
     And every promise is kept
+
+  # Guards against a fence that falls back with the clock of a worker's next life.
+  @at-most-once @whole-answer
+  Scenario: A worker starts again under its id while it runs tasks
+    When worker-1 starts again under its id, 1500 ms before its first heartbeat
+    And a stored job of 12 tasks of 1500 ms is submitted to dispatcher-1
+    And 10 tasks have started
+    And worker-1 starts again under its id, 200 ms before its first heartbeat
+    Then the job is completed at dispatcher-1
+    When a stored job of 12 tasks of 300 ms is submitted to dispatcher-1
+    Then worker-1 starts tasks of that job
+    And the job is completed at dispatcher-1
+    And every promise is kept
--- a/tests/jobs/owners/test_transient.py
+++ b/tests/jobs/owners/test_transient.py
@@ -226,7 +226,7 @@
 def test_a_seemingly_older_incarnation_replaces_an_unresponsive_one(world):
     """The clock may have been set back before the worker restarted."""
     worker, runner = world.workers["runner-0"], world.runners["runner-0"]
-    worker.incarnation_number = -5
+    worker.incarnation_number = worker.born_offset_ms = -5
     runner.announce(worker.announcement(), world.now)
     assert runner.worker.incarnation == "runner-0@0"
     world.now += 4.0
--- a/tests/jobs/runners/test_runner.py
+++ b/tests/jobs/runners/test_runner.py
@@ -207,3 +207,38 @@
         world.step()
     assert [reply.state for reply in world.replies[TASK_ID.job]] == ["completed"]
     assert world.faults == []
+
+
+def test_a_worker_that_answers_before_its_first_heartbeat_is_used_again(paired_world):
+    """Its jobs hung for good, since its runner went back to a lower fence.
+
+    The new life had seen the fence of the one before, a reading of the older clock.
+    """
+    world = paired_world
+    world.submit("owner-0", TASK_ID.job, tasks=4, deadline_s=30.0)
+    world.step()
+    world.workers["runner-0"].crash()
+    for _ in range(200):
+        world.step()
+    assert world.runners["runner-0"].reconciled
+    assert world.runners["runner-0"].fence >= world.workers["runner-0"].fence
+    assert [reply.state for reply in world.replies[TASK_ID.job]] == ["completed"]
+    assert world.faults == []
+
+
+@pytest.mark.parametrize("set_back_s", [0.0, 3_600.0])
+def test_a_new_process_gets_past_the_fence_of_the_one_before(paired_world, set_back_s):
+    """That one may have shown the present life of the worker a fence of another."""
+    world = paired_world
+    worker = world.workers["runner-0"]
+    world.submit("owner-0", TASK_ID.job, tasks=4, deadline_s=30.0)
+    world.step()
+    worker.crash(set_back_s)
+    for _ in range(2):
+        world.step()
+    assert worker.fence > 0
+    world.start_runner("runner-0")
+    for _ in range(40):
+        world.step()
+    assert world.runners["runner-0"].reconciled
+    assert world.faults == []
--- a/tests/jobs/runners/worker_model.py
+++ b/tests/jobs/runners/worker_model.py
@@ -24,6 +24,8 @@
     world: object
     name: str
     incarnation_number: int = 0
+    began_at: float = 0.0
+    born_offset_ms: int = 0  # how far its wall clock is ahead of the world's
     lease_expires_at: float = 0.0
     fence: int = 0
     running: dict = field(default_factory=dict)  # end time by (task, run)
@@ -44,7 +46,11 @@
 
     @property
     def clock_ms(self):
-        return round(self.world.now * 1000) + 1
+        return round((self.world.now - self.began_at) * 1000) + 1
+
+    @property
+    def born_ms(self):
+        return round(self.began_at * 1000) + self.born_offset_ms
 
     def end_due_runs(self):
         """Ends the runs that are complete or whose lease has expired."""
@@ -116,6 +122,10 @@
         running = tuple(WorkerRun(*key, "", self._percent(key)) for key in self.running)
         return WorkerListing(self.clock_ms, running, tuple(self.ended))
 
+    def verify(self, fence):
+        """Answers the call that shows a runner which life it reaches."""
+        self.fence = max(self.fence, fence)
+
     def stall(self):
         """Stalls all runs at the progress that they have made."""
         for key, end in self.running.items():
@@ -140,9 +150,12 @@
         requested = self.world.now + (deadline_ms - self.clock_ms) / 1000
         self.lease_expires_at = max(self.lease_expires_at, min(latest, requested))
 
-    def crash(self):
+    def crash(self, set_back_s=0.0):
+        """Begins a new life; its wall clock may be set back meanwhile."""
         self.world.record_worker_loss(self)
         self.incarnation_number += 1
+        self.began_at = self.world.now
+        self.born_offset_ms -= round(set_back_s * 1000)
         self.fence = self.number = 0
         self.running, self.ended, self.last_ended_run, self.ended_at = {}, [], {}, {}
         self.lease_expires_at = 0.0
@@ -151,7 +164,7 @@
         return WorkerHeartbeat(
             worker_id=self.name,
             incarnation=self.incarnation,
-            born_ms=self.incarnation_number,
+            born_ms=self.born_ms,
             service=SERVICE,
             address="",
             draining=draining,
--- a/tests/jobs/test_state_machine.py
+++ b/tests/jobs/test_state_machine.py
@@ -127,11 +127,16 @@
         self.submit_and_wait(wait)
 
     @when("crash")
-    @rule(name=st.sampled_from(RUNNERS), announce=st.booleans(), wait=WAITS)
-    def crash_worker(self, name, announce, wait):
+    @rule(
+        name=st.sampled_from(RUNNERS),
+        announce=st.booleans(),
+        set_back_s=st.sampled_from([0.0, 10.0, 3_600.0]),
+        wait=WAITS,
+    )
+    def crash_worker(self, name, announce, set_back_s, wait):
         """Otherwise the next life is announced by its first regular heartbeat."""
         worker = self.world.workers[name]
-        worker.crash()
+        worker.crash(set_back_s)
         runner = self.world.runners[name]
         if announce:
             runner.announce(worker.announcement(), self.world.now)
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -233,6 +233,7 @@
             runner.deadline_ms(self.now)
             return
         if self._is_replaced(runner, worker):
+            worker.verify(runner.fence)
             runner.record_worker_replaced(worker.incarnation, self.now)
             return
         for run in runner.begin_due_starts(self.now):
@@ -253,7 +254,9 @@
             lists = worker.renew_lease(
                 fence, acknowledged, runner.deadline_ms(self.now)
             )
-            if lists is not None:
+            if lists is None:
+                runner.record_fenced_poll(fence)
+            else:
                 runner.reconcile(lists, fence, acknowledged, self.now, self.now)
 
     def _is_replaced(self, runner, worker):
--- a/tests/promises/checks.py
+++ b/tests/promises/checks.py
@@ -77,6 +77,14 @@
     assert max(map(tasks.count, set(tasks))) <= most, tasks
 
 
+@then(parsers.parse("{worker} starts tasks of that job"))
+def check_used(world, worker):
+    world.cluster.wait_for(
+        lambda: any(event.process == worker for event in world.starts(world.job_id)),
+        f"{worker} starts no task",
+    )
+
+
 @then("every canceled job is told so by both dispatchers")
 def check_canceled(world):
     assert world.canceled
