Run nothing for callers that left while the dispatcher stood still

Cause: a dispatcher that stands still leaves requests unread. Their callers leave and come back elsewhere after 1.3 s; when it goes on, it reads the old request first and the end of its connection some ms later, and runs the job meanwhile. All bounds of a forwarded job count from the moment at which its request was read.

Evidence: the users' record has request:hosted with a delay of 143 and 155 ms, the age of claims that waited as well, and caller-left 7 and 13 ms later. The same lines come from a script here: three dispatchers, frozen in turn under load, eight callers each that leave and come back at the others.

TransientRequests looks at the caller's socket before it runs a job. After 0.3 s without any work the dispatcher looks at those of all open jobs before anything else, and abandons the jobs of callers that have left.

Relatives: jobs that had been read and waited for room or a placer, mended with it; jobs through the operators' interface, too. Hosted jobs were bounded by their confirmations. Open: a dispatcher that is cut off from callers alone can't know.

--- a/packages/daemon/banyanwheel_daemon/dispatcher.py
+++ b/packages/daemon/banyanwheel_daemon/dispatcher.py
@@ -290,6 +290,7 @@
         self._peers.send(address, message, incarnation)
 
     def _receive(self, address, incarnation, message):
+        self._transient.check_pause()
         match message:
             case Report():
                 view = self._views.get(address)
@@ -348,16 +349,19 @@
 
     def _dispatch(self):
         self._dispatch_due = False
+        self._transient.check_pause()
         self._owner.dispatch(boot_time())
 
     # Periodic work
 
     def _contact(self):
+        self._transient.check_pause()
         self._transient.confirm()
         self._contacts.contact()
         self._peers.close_idle(boot_time())
 
     def _tick(self):
+        self._transient.check_pause()
         now = boot_time()
         self._hosted.tick(now)
         self._owner.tick(now)
--- a/packages/daemon/banyanwheel_daemon/operator_server.py
+++ b/packages/daemon/banyanwheel_daemon/operator_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+from functools import partial
 
 import msgspec
 from tornado.httpserver import HTTPServer
@@ -12,6 +13,7 @@
 from banyanwheel_core.problems import Problem, Reason
 from banyanwheel_jobs.model import JobState
 from banyanwheel_jobs.outcomes import Outcome
+from banyanwheel_platform.http import is_connected
 
 from .http import answer, answer_json, answer_problem
 
@@ -120,7 +122,11 @@
             return
         job = JobDocument.from_json(request.body)
         reply = await self._gateway.submit_document(
-            job_id, job, _wait_s(request), _on_disconnect(request)
+            job_id,
+            job,
+            _wait_s(request),
+            _on_disconnect(request),
+            partial(is_connected, request),
         )
         if reply.outcome is Outcome.ACCEPTED:
             body = {"id": job_id, "state": str(JobState.QUEUED)}
--- a/packages/daemon/banyanwheel_daemon/request_gateway.py
+++ b/packages/daemon/banyanwheel_daemon/request_gateway.py
@@ -106,11 +106,14 @@
         method(job_id, _result_setter(future), deadline_s)
         return await future
 
-    async def submit_document(self, job_id, document, deadline_s, on_disconnect=None):
+    async def submit_document(
+        self, job_id, document, deadline_s, on_disconnect=None, is_connected=None
+    ):
         """Submits the job of a JobDocument and returns the Reply.
 
         ``on_disconnect(callback)`` registers a function to be called when the caller
-        of a transient job disconnects.
+        of a transient job disconnects; ``is_connected`` is as for
+        :meth:`TransientRequests.run`.
         """
         if self.routing is None:
             return Reply(Outcome.NO_CONFIGURATION, retry_ms=RETRY_AFTER_MS)
@@ -130,7 +133,7 @@
         if not document.transient:
             self.submit(*arguments)
             return await future
-        abandon = self.run(*arguments)
+        abandon = self.run(*arguments, is_connected)
 
         def caller_left():
             if not future.done():
@@ -148,9 +151,11 @@
         ask = ForwardedRequest(next(self._numbers), "submit", job_id, *details)
         self._start_request(ask, reply, deadline_s)
 
-    def run(self, job_id, queue, spec, steps, reply, deadline_s):
+    def run(self, job_id, queue, spec, steps, reply, deadline_s, is_connected=None):
         """Runs a transient job; see :meth:`TransientRequests.run`."""
-        return self._transient.run(job_id, queue, spec, steps, reply, deadline_s)
+        return self._transient.run(
+            job_id, queue, spec, steps, reply, deadline_s, is_connected
+        )
 
     def state(self, job_id, reply, deadline_s):
         """Requests a job's state; ``reply`` is called with a Reply."""
--- a/packages/daemon/banyanwheel_daemon/transient_requests.py
+++ b/packages/daemon/banyanwheel_daemon/transient_requests.py
@@ -1,6 +1,7 @@
 """Callers' transient jobs: run here, or forwarded to a dispatcher that places tasks."""
 
 from dataclasses import dataclass, field
+from functools import partial
 
 from banyanwheel_jobs.cells.forwarding import ForwardedJobs, may_outlast
 from banyanwheel_jobs.model import Submission
@@ -12,6 +13,8 @@
 # After a power loss of all machines, a placer is heard of within this time.
 UNROUTED_TIMEOUT_S = 2.5
 MAX_PLACERS_TRIED = 3
+# Well within the time after which a caller comes again.
+PAUSE_S = 0.3  # without any work, the process has stood still
 SELF = ""  # stands for this dispatcher among the placers that were tried
 
 
@@ -19,6 +22,11 @@
     """Withdraws nothing: the job runs nowhere yet."""
 
 
+def _always():
+    """Tells of a caller without a connection of its own that it is there."""
+    return True
+
+
 @dataclass(slots=True, eq=False)
 class _Request:
     """A caller's transient job; times in seconds of this process's clock."""
@@ -27,6 +35,7 @@
     reply: object
     received_at: float
     expires_at: float
+    is_connected: object = _always
     done: bool = False
     abandon: object = field(default=_not_running)  # withdraws it where it runs
 
@@ -48,6 +57,7 @@
         self._requests = set()
         self._unrouted = []
         self._shutdown_deadline = float("inf")
+        self._active_at = self._now()  # when this process last did anything
         self._forwarded = ForwardedJobs(
             numbers, send, placers.is_silent, self._reroute, event_log
         )
@@ -56,12 +66,19 @@
         """Returns the number of unanswered jobs."""
         return len(self._requests)
 
-    def run(self, job_id, queue, spec, steps, reply, deadline_s):
+    def run(self, job_id, queue, spec, steps, reply, deadline_s, is_connected=None):
         """Runs a transient job and returns a function that abandons it.
 
         ``reply`` is called with the Reply when the job has ended or was refused, but
-        not after the job was abandoned.
+        not after the job was abandoned. ``is_connected()`` tells whether its caller is
+        still there. Nothing is run for one that has left: the request may have waited
+        while this process stood still, and the job may run elsewhere by now.
         """
+        self.check_pause()
+        is_connected = is_connected or _always
+        if not is_connected():
+            self._log_absent(job_id)
+            return _not_running
         now = self._now()
         submission = Submission(
             job_id, queue, spec, steps, self._wall_ms(), transient=True
@@ -73,19 +90,38 @@
             tasks=sum(step.count for step in steps),
             deadline_ms=round(deadline_s * 1000),
         )
-        request = _Request(submission, reply, now, now + deadline_s)
+        request = _Request(submission, reply, now, now + deadline_s, is_connected)
         self._requests.add(request)
         if may_outlast(submission, now, self._shutdown_deadline):
             self._refuse(request, "dispatcher-stopping")
         else:
             self._route(request, now)
 
-        def abandon():
-            request.done = True
-            self._requests.discard(request)
-            request.abandon()
+        return partial(self._abandon, request)
+
+    def _abandon(self, request):
+        request.done = True
+        self._requests.discard(request)
+        request.abandon()
+
+    def check_pause(self):
+        """Abandons the jobs of callers that left while this process stood still.
+
+        To be called before any work: the loop reports the ends of their connections
+        only after what else is due, and would first place tasks of these jobs.
+        """
+        now = self._now()
+        paused = now - self._active_at > PAUSE_S
+        self._active_at = now
+        if not paused:
+            return
+        for request in [each for each in self._requests if not each.is_connected()]:
+            self._log_absent(request.submission.job_id)
+            self._abandon(request)
 
-        return abandon
+    def _log_absent(self, job_id):
+        self._event_log("request:refused", job=job_id, reason="caller-left")
+        self._event_log.count("banyanwheel.refusals", "caller-left")
 
     def _route(self, request, now, tried=()):
         """Runs a job here or at a placer; without any, it waits for one."""
--- a/tests/daemon/test_transient_requests.py
+++ b/tests/daemon/test_transient_requests.py
@@ -29,6 +29,7 @@
 
     def __init__(self, offers=None):
         self.now = NOW
+        self.connected = True
         self.offers = offers
         self.sent = []
         self.replies = []
@@ -52,7 +53,15 @@
             self.placers.hear(name, "incarnation", claims, self.now)
 
     def run(self, deadline_s=5.0):
-        return self.gateway.run(JOB, QUEUE, "", STEPS, self.replies.append, deadline_s)
+        return self.gateway.run(
+            JOB,
+            QUEUE,
+            "",
+            STEPS,
+            self.replies.append,
+            deadline_s,
+            lambda: self.connected,
+        )
 
     @property
     def run_jobs(self):
@@ -238,3 +247,55 @@
     site.gateway.fail_open_requests()
     assert site.outcomes == [Outcome.IN_DOUBT]
     assert site.gateway.open_requests == 0
+
+
+def test_nothing_is_run_for_a_caller_that_has_left(site):
+    """A dispatcher that had stood still found its request, and ran the job.
+
+    The caller had come back elsewhere meanwhile: two runs at once. Seen by the users
+    on their own machines (magridge-ops, csbx-ops-grown, rule TWICE).
+    """
+    site.connected = False
+    site.run()
+    assert site.run_jobs == []
+    assert site.gateway.open_requests == 0
+
+
+def test_after_a_pause_jobs_of_callers_that_have_left_are_abandoned_first(site):
+    site.run()
+    site.connected = False
+    site.now += 1.4
+    site.transient.check_pause()
+    _, _, message = site.sent[-1]
+    assert message == JobsAbandoned((site.run_jobs[0][1].number,))
+    assert site.gateway.open_requests == 0
+
+
+def test_after_a_pause_no_waiting_task_of_such_a_job_is_placed():
+    site = Site(offers=(FULL,))
+    site.run()
+    assert site.owner.transient.jobs
+    site.connected = False
+    site.now += 1.4
+    site.transient.check_pause()
+    assert not site.owner.transient.jobs
+
+
+def test_after_a_pause_no_such_job_is_sent_to_a_placer():
+    site = Site()
+    site.run()
+    site.connected = False
+    site.now += 1.4
+    site.hear("one")
+    site.transient.check_pause()
+    site.transient.tick()
+    assert site.run_jobs == []
+
+
+def test_after_a_pause_callers_that_are_still_there_are_served(site):
+    site.run()
+    site.now += 1.4
+    site.transient.check_pause()
+    assert site.gateway.open_requests == 1
+    site.answer(Outcome.STATE, "completed")
+    assert [reply.state for reply in site.replies] == ["completed"]
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 
 import pytest
 
@@ -95,3 +96,53 @@
 
 def test_callers_keep_their_connections_otherwise():
     assert connection_headers(draining=False) == [None, None]
+
+
+JOB_PATH = "/" + "a" * 16
+JOB_BODY = json.dumps({"bestEffort": True, "steps": [{"cpu": 1}]}).encode()
+
+
+class RunRecorder(Gateway):
+    """Keeps whether the caller of each transient job was there as it was run."""
+
+    def __init__(self):
+        self.present = []
+
+    def run(self, job_id, queue, spec, steps, reply, deadline_s, is_connected):
+        self.present.append(is_connected())
+        return lambda: None
+
+
+def presence(leave):
+    """Returns whether callers were there, where ``leave(socket)`` follows a request."""
+
+    async def run():
+        ports = Ports()
+        address = ports.reserve()
+        gateway = RunRecorder()
+        server = CallerServer(gateway, None)
+        server.listen(address)
+        host, _, port = address.rpartition(":")
+        # The loop stands still until the request is there, and the caller's end.
+        with socket.create_connection((host, int(port))) as caller:
+            head = f"POST {JOB_PATH} HTTP/1.1\r\nHost: {HOST}\r\n"
+            head += f"Content-Length: {len(JOB_BODY)}\r\n\r\n"
+            caller.sendall(head.encode() + JOB_BODY)
+            leave(caller)
+            async with asyncio.timeout(5):
+                while not gateway.present:
+                    await asyncio.sleep(0.001)
+        server.stop()
+        await server.close()
+        ports.close()
+        return gateway.present
+
+    return asyncio.run(run())
+
+
+def test_a_caller_that_waits_is_there():
+    assert presence(lambda caller: None) == [True]
+
+
+def test_a_caller_that_left_before_its_request_was_read_is_not_there():
+    assert presence(socket.socket.close) == [False]
--- a/tests/promises/checks.py
+++ b/tests/promises/checks.py
@@ -44,6 +44,11 @@
     assert all(told.accepted for told in world.told), world.told
 
 
+@then("every answer is a completed job")
+def check_all_completed(world):
+    assert {told.state for told in world.told} == {"completed"}, world.told
+
+
 @then("the last answer is a completed job")
 def check_last_completed(world):
     told = world.last_told
--- a/tests/promises/conftest.py
+++ b/tests/promises/conftest.py
@@ -136,6 +136,17 @@
     world.submit_new(kind, int(tasks), int(run_ms), world.find(dispatcher))
 
 
+@when(
+    parsers.parse(
+        "each dispatcher is frozen {rounds:d} times, while callers of {count:d} jobs "
+        "leave it for the others"
+    )
+)
+def freeze_and_leave(world, rounds, count):
+    for frozen in world.dispatchers * rounds:
+        world.leave_for_others(frozen, count)
+
+
 @when(
     parsers.parse(
         "a stored job of {tasks:d} tasks of {run_ms:d} ms is submitted "
--- a/tests/promises/world.py
+++ b/tests/promises/world.py
@@ -7,14 +7,16 @@
 from dataclasses import dataclass, field
 
 from banyanwheel_jobs.cells.cell import CELL_PLACERS
-from tests.standins.caller import job_of
+from tests.standins.caller import ANSWER_TIMEOUT_S, job_of
 from tests.standins.cluster import Cluster, command
 from tests.standins.history import TaskStarted
-from tests.standins.load import Load
+from tests.standins.load import RESEND_S, Load
 
 __all__ = ["World"]
 
 ASK_PAUSE_S = 0.1
+LEAVERS_PATIENCE_S = 0.2
+LEAVERS_RUN_MS = 1_000
 CANCEL_CALLERS = 4
 
 
@@ -74,6 +76,35 @@
         if self.stored:
             assert self.last_told.status in (0, 200, 202, 503, 504)
 
+    def leave_for_others(self, frozen, count):
+        """Has callers leave a frozen dispatcher and submit their jobs to the others.
+
+        It goes on while the tasks of these jobs run.
+        """
+        others = [name for name in self.dispatchers if name != frozen]
+        job = job_of(1, LEAVERS_RUN_MS, stored=False)
+        jobs = [f"ff{self.new_job_id()[2:]}" for _ in range(count)]
+        self.cluster.freeze(frozen)
+        leaving = [
+            self._submit_for(frozen, each, job, LEAVERS_PATIENCE_S) for each in jobs
+        ]
+        assert {told().status for told in leaving} == {0}
+        time.sleep(RESEND_S)
+        again = [
+            self._submit_for(others[number % len(others)], each, job)
+            for number, each in enumerate(jobs)
+        ]
+        time.sleep(LEAVERS_RUN_MS / 3_000)
+        self.cluster.thaw(frozen)
+        self.answers += again
+        for told in again:
+            told()
+
+    def _submit_for(self, dispatcher, job_id, job, patience_s=ANSWER_TIMEOUT_S):
+        name = f"caller-{dispatcher}-{job_id}"
+        caller = self.cluster.caller(name, patience_s=patience_s)
+        return caller.submit_later(dispatcher, job_id, job)
+
     def starts(self, job_id=""):
         return [
             event
--- a/tests/standins/caller.py
+++ b/tests/standins/caller.py
@@ -11,7 +11,7 @@
 from .calls import in_thread
 from .history import CallerSent, CallerTold
 
-__all__ = ["Caller", "Told", "job_of"]
+__all__ = ["ANSWER_TIMEOUT_S", "Caller", "Told", "job_of"]
 
 ANSWER_TIMEOUT_S = 30
 DEADLINE_MS = 8_000
@@ -45,13 +45,24 @@
 
 
 class Caller:
-    """Sends requests to dispatchers given by name; ``addresses`` maps them."""
+    """Sends requests to dispatchers given by name; ``addresses`` maps them.
 
-    def __init__(self, addresses, history, name="caller", deadline_ms=DEADLINE_MS):
+    It closes its connection ``patience_s`` after it has sent a request.
+    """
+
+    def __init__(
+        self,
+        addresses,
+        history,
+        name="caller",
+        deadline_ms=DEADLINE_MS,
+        patience_s=ANSWER_TIMEOUT_S,
+    ):
         self._addresses = addresses
         self._history = history
         self._name = name
         self._deadline_ms = deadline_ms
+        self._patience_s = patience_s
         self._numbers = itertools.count()
         self._lock = threading.Lock()
 
@@ -104,7 +115,7 @@
             headers={"Host": HOST, "Request-Deadline-Ms": str(self._deadline_ms)},
         )
         try:
-            with urllib.request.urlopen(request, timeout=ANSWER_TIMEOUT_S) as response:
+            with urllib.request.urlopen(request, timeout=self._patience_s) as response:
                 body = json.load(response)
                 return Told(response.status, body.get("state", ""))
         except urllib.error.HTTPError as error:
--- a/tests/standins/load.py
+++ b/tests/standins/load.py
@@ -5,7 +5,7 @@
 from .caller import job_of
 from .calls import call
 
-__all__ = ["Load"]
+__all__ = ["RESEND_S", "Load"]
 
 PAUSE_S = 0.05
 RESEND_S = 1.3  # a caller hands a job in again this long after a lost answer
