--- a/packages/daemon/banyanwheel_daemon/members.py
+++ b/packages/daemon/banyanwheel_daemon/members.py
@@ -4,13 +4,17 @@
 """
 
 import asyncio
+from typing import Annotated, Literal
 
 import msgspec
 
+from banyanwheel_core.decoding import decode
 from banyanwheel_core.drains import DrainKind
 from banyanwheel_jobs.cells.cell import Host
 from banyanwheel_jobs.ports import AppendOutcome, LogTruncated, LogUnavailable
 
+from .addresses import Address
+
 __all__ = ["Member", "Members"]
 
 TOPIC = "members"
@@ -20,6 +24,7 @@
 MAX_UNKNOWN_CHECKS = 3  # in a row, before a process registers again
 REMOVAL_TIMEOUT_S = 0.5  # a process that stops waits no longer for its removal
 COALESCING_S = 0.05  # many processes that start together change the list at once
+MAX_POWER = 1e6
 _DRAIN_PREFIX = "drain/"
 _DRAINED = b"\x01"  # any value will do: the log drops a key without one
 
@@ -30,9 +35,12 @@
     ``power`` is the speed of its processor relative to that of others.
     """
 
-    role: str
+    role: Literal["dispatcher", "runner"]
     data_centre: str
-    power: float = 1.0
+    power: Annotated[float, msgspec.Meta(gt=0, le=MAX_POWER)] = 1.0
+
+
+_DECODER = msgspec.msgpack.Decoder(Member)
 
 
 class Members:
@@ -148,10 +156,13 @@
             self._drains.add((DrainKind(kind), name))
 
     def _apply_member(self, record):
+        """Adds a member; what another writer left under the key names no process."""
         try:
-            member = msgspec.msgpack.decode(record.value, type=Member)
-        except msgspec.MsgspecError as error:
+            Address.parse(record.key)
+            member = decode(_DECODER, record.value)
+        except (ValueError, msgspec.MsgspecError) as error:
             self._event_log("log:unreadable", key=record.key, fault=str(error))
+            self._known.pop(record.key, None)
             return
         self._known[record.key] = member
 
--- a/packages/daemon/banyanwheel_daemon/transport.py
+++ b/packages/daemon/banyanwheel_daemon/transport.py
@@ -201,7 +201,11 @@
     def _connect(self, key):
         _, address = key
         socket = self._open_socket(zmq.DEALER)
-        socket.connect(SCHEME + address)
+        try:
+            socket.connect(SCHEME + address)
+        except zmq.ZMQError:
+            self._close_socket(socket)
+            raise
         connection = _Connection(socket, self._clock())
         self._connections[key] = connection
         return connection
@@ -231,7 +235,12 @@
         if address is None:
             return self._reply(peer, batch)
         key = (peer.name, address)
-        connection = self._connections.get(key) or self._connect(key)
+        try:
+            connection = self._connections.get(key) or self._connect(key)
+        except zmq.ZMQError as error:
+            self.counts.unroutable += len(batch)
+            log_message("transport:unroutable", address=address, fault=str(error))
+            return None
         connection.last_used = self._clock()
         self._send_messages(connection.socket, [], peer.incarnation, batch)
         return connection.socket
--- a/packages/jobs/banyanwheel_jobs/records.py
+++ b/packages/jobs/banyanwheel_jobs/records.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from banyanwheel_core import decoding
+
 from .model import JobState, Submission
 
 __all__ = [
@@ -67,7 +69,7 @@
 
 def decode(data):
     """Decodes a record; raises msgspec.MsgspecError if the data isn't one."""
-    return _DECODER.decode(data)
+    return decoding.decode(_DECODER, data)
 
 
 def job_key(job_id):
--- a/tests/daemon/test_members.py
+++ b/tests/daemon/test_members.py
@@ -137,3 +137,37 @@
     (host,) = members.hosts(DISPATCHER)
     assert (host.address, host.data_centre, host.power) == ("a:1", "dc-1", 2.0)
     assert [host.address for host in members.hosts(RUNNER)] == ["b:1"]
+
+
+DEEP = (
+    b"\x94"
+    + b"".join(map(msgspec.msgpack.encode, (RUNNER, "dc", 1.0)))
+    + b"\x91" * 100_000
+    + b"\xc0"
+)
+ODD_RECORDS = {
+    "nested too deeply": (OTHER, DEEP),
+    "port out of range": ("10.0.0.2:99999", msgspec.msgpack.encode((RUNNER, "dc"))),
+    "no address": ("nonsense", msgspec.msgpack.encode((RUNNER, "dc"))),
+    "another role": (OTHER, msgspec.msgpack.encode(("keeper", "dc"))),
+    "endless power": (OTHER, msgspec.msgpack.encode((RUNNER, "dc", float("inf")))),
+    "too large a power": (OTHER, msgspec.msgpack.encode((RUNNER, "dc", 2**64 - 1))),
+    "no number": (OTHER, msgspec.msgpack.encode((RUNNER, "dc", float("nan")))),
+    "other bytes": (OTHER, b"\xc1"),
+}
+
+
+@pytest.mark.parametrize("odd", ODD_RECORDS.values(), ids=ODD_RECORDS)
+def test_an_odd_record_names_no_process_and_the_others_hold(odd):
+    """Dispatchers stopped following the list at a record that was nested too deeply."""
+
+    async def run():
+        log = ConditionalLog()
+        members = Members(log, EventRecorder())
+        log.records.append(odd)
+        await members.register(ADDRESS, Member(RUNNER, "dc"))
+        return await listed(members), members._event_log.events
+
+    known, events = asyncio.run(run())
+    assert known == [ADDRESS]
+    assert [event for event, _ in events] == ["log:unreadable"]
--- a/tests/daemon/test_transport.py
+++ b/tests/daemon/test_transport.py
@@ -246,3 +246,17 @@
         assert str(caught.value) == f"{address}: Address already in use"
 
     run(scenario, GULF)
+
+
+@pytest.mark.parametrize("odd", ["nonsense", "10.0.0.1:-1", ""])
+def test_a_message_to_an_odd_address_keeps_no_other_from_being_sent(odd):
+    """One odd entry of the list kept a dispatcher's heartbeats from all runners."""
+
+    async def scenario(gulf, reef):
+        gulf.transport.send(Peer(odd, ""), odd, ping(1))
+        gulf.send(reef, ping(2))
+        await reef.wait(lambda end: end.messages)
+        assert reef.messages == [ping(2)]
+        assert gulf.transport.counts.unroutable == 1
+
+    run(scenario, GULF, REEF)
--- a/tests/jobs/owners/test_any_record.py
+++ b/tests/jobs/owners/test_any_record.py
@@ -1,6 +1,6 @@
 """Whatever is on the log, the owner of its partition serves what it can read."""
 
-from hypothesis import given, settings, strategies as st
+from hypothesis import example, given, settings, strategies as st
 
 from banyanwheel_jobs.model import Queue, Resources, Step, Submission
 from banyanwheel_jobs.outcomes import Outcome
@@ -20,10 +20,13 @@
     damaged(encodings(Accepted | Progress | Ended)),
 )
 EXAMPLES = 300
+# One field more than the record's type knows, nested too deeply to be passed over.
+DEEP = b"\x94" + encode(Progress((), ()))[1:] + b"\x91" * 100_000 + b"\xc0"
 
 
 @settings(max_examples=EXAMPLES, deadline=None)
 @given(st.dictionaries(KEYS, VALUES, max_size=4))
+@example({"0000000000000001": DEEP})
 def test_a_partition_is_served_whatever_its_records_are(values):
     owner = lone_owner(send=lambda runner, message: None, store=lambda partition: None)
     records = [KeyedRecord(key, value, 0) for key, value in values.items()]
