Pass a submission on that its former owner could not store

Cause: a dispatcher that had not heard yet that its partition had moved was fenced while it stored one copy of a submission, and answered NOT_STORED for it. That is true of this append only. Owner now answers NOT_OWNER when the partition is gone and nothing was sent that may be stored; the entry asks the new owner, and says NOT_STORED only once none takes the job. A submission that may have been stored stays in doubt, and one that waits for a log that stands still is refused, as before.

Relatives: handing over with records unsent, and leaving, go the same way. The replies that joined a pending submission get the same outcome.

--- a/packages/jobs/banyanwheel_jobs/owners/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owners/owner.py
@@ -181,7 +181,7 @@
 
         def abandoned(sent):
             partition.pending_submissions.pop(submission.job_id, None)
-            outcome = Outcome.IN_DOUBT if sent else Outcome.NOT_STORED
+            outcome = Outcome.IN_DOUBT if sent else self._unsent_outcome(partition)
             for answer in replies:
                 answer(Reply(outcome, retry_ms=RETRY_AFTER_MS))
 
@@ -189,6 +189,15 @@
         partition.journal.add(records, stored, abandoned)
         self._store(partition)
 
+    def _unsent_outcome(self, partition):
+        """Returns the outcome of a submission that this owner has not sent to the log.
+
+        If the partition has moved, another owner may store the job, or have it already.
+        """
+        if self._partitions.get(partition.number) is partition:
+            return Outcome.NOT_STORED
+        return Outcome.NOT_OWNER
+
     def _add_job(self, partition, submission: Submission, now):
         job = Job.from_submission(submission, partition.number, partition.epoch, now)
         partition.jobs[job.id] = job
--- a/tests/daemon/test_request_gateway.py
+++ b/tests/daemon/test_request_gateway.py
@@ -193,3 +193,35 @@
     partition.journal.next_batch()
     partition.journal.mark_stored()
     assert [reply.state for reply in replies] == [JobState.CANCELED]
+
+
+def test_a_submission_that_its_former_owner_could_not_store_goes_to_the_new_one():
+    """It was refused with 503, though the new owner had stored the same job.
+
+    The former owner had not heard yet that its partition had moved, and was fenced.
+    """
+    asyncio.run(_submit_while_partition_moves())
+
+
+async def _submit_while_partition_moves():
+    sent, replies = [], []
+    owner = open_owner()
+    ownership = ConfirmingOwnership()
+    ownership.stalled = lambda partition: False
+    gateway = build_gateway(
+        owner,
+        4,
+        send=lambda address, message: sent.append((address, message)),
+        ownership=ownership,
+    )
+    steps = (Step(1, Resources(1_000), 100),)
+    gateway.submit("a" * 16, QUEUE, "", steps, replies.append, 5.0)
+    for number in list(owner.partitions):
+        owner.close(number, "fenced")
+    assert replies == []
+    gateway.handle_claims("other", Claims((0, 1, 2, 3), {}))
+    await asyncio.sleep(2 * OWNER_RETRY_S)
+    ((address, request),) = sent
+    assert (address, request.verb) == ("other", "submit")
+    gateway.handle_reply(ForwardedReply(request.number, Outcome.ACCEPTED))
+    assert [reply.outcome for reply in replies] == [Outcome.ACCEPTED]
