Restart workers under their ids in the soak, and stop processes in turn

Chaos can do both now: a worker is killed for up to 0.5 s and its first heartbeat comes up to 0.5 s late; a runner gets SIGTERM, and up to 2.5 s later the dispatcher of the same number. The soak plays them, and chaos.feature does with two seeds. The plans of its three other seeds are what they were.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -45,7 +45,7 @@
     numbers = list(range(1, cluster.layout.runners + 1))
     halves = numbers[::2], numbers[1::2]
     chaos = [
-        Chaos(cluster, half, count, seed * len(halves) + index)
+        Chaos(cluster, half, count, seed * len(halves) + index, restarts=True)
         for index, half in enumerate(halves)
     ]
     for one in chaos:
--- a/tests/features/chaos.feature
+++ b/tests/features/chaos.feature
@@ -14,3 +14,17 @@
       | 1    |
       | 2    |
       | 3    |
+
+  @at-most-once @whole-answer @own-answer @not-run @non-idempotent
+  Scenario Outline: Workers start again under their ids, and processes stop in turn
+    Given a system of 3 dispatchers and 4 runners, with proxies before the runners
+    And callers that submit jobs all the time
+    When 6 faults, restarts among them, hit each half of the system with the seed <seed>
+    And the callers stop
+    Then every accepted job of the callers ends
+    And every promise is kept
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
--- a/tests/promises/conftest.py
+++ b/tests/promises/conftest.py
@@ -347,13 +347,23 @@
 
 
 @when(
-    parsers.parse("{count:d} faults hit each half of the system with the seed {seed:d}")
+    parsers.re(
+        r"(?P<count>\d+) faults(?P<restarts>, restarts among them,)? hit each half of "
+        r"the system with the seed (?P<seed>\d+)$"
+    ),
+    converters={"count": int, "seed": int, "restarts": bool},
 )
-def run_chaos(world, count, seed):
+def run_chaos(world, count, seed, restarts):
     numbers = list(range(1, world.cluster.layout.runners + 1))
     halves = numbers[::2], numbers[1::2]
     chaos = [
-        Chaos(world.cluster, half, count, seed * len(halves) + index)
+        Chaos(
+            world.cluster,
+            half,
+            count,
+            seed * len(halves) + index,
+            restarts=restarts,
+        )
         for index, half in enumerate(halves)
     ]
     for one in chaos:
--- a/tests/standins/chaos.py
+++ b/tests/standins/chaos.py
@@ -8,6 +8,7 @@
 
 LONGEST_PAUSE_S = 0.5
 LONGEST_FAULT_S = 2.5
+LATEST_HEARTBEAT_MS = 500  # of a worker that has started again
 WORKER_FAULTS = (
     {"hang": True},
     {"fail_all": True},
@@ -34,14 +35,16 @@
     """A thread that disturbs some processes, the network and the log.
 
     ``numbers`` are those of the runners and, where there are such, dispatchers. Two of
-    these for different numbers overlap.
+    these for different numbers overlap. With ``restarts`` workers also start again
+    under their ids, and a runner and a dispatcher stop one after the other.
     """
 
-    def __init__(self, cluster, numbers, count, seed):
+    def __init__(self, cluster, numbers, count, seed, *, restarts=False):
         self._cluster = cluster
         self._numbers = numbers
         self._count = count
         self._random = Random(seed)
+        self._restarts = restarts
         self._thread = threading.Thread(target=self._run, daemon=True)
         self.applied = []
 
@@ -65,6 +68,8 @@
             self._disturb_log,
             self._move_partitions,
         ]
+        if self._restarts:
+            faults += [self._restart_worker] * 4 + [self._stop_in_turn] * 3
         for _ in range(self._count):
             fault = self._random.choice(faults)
             number = self._random.choice(self._numbers)
@@ -91,7 +96,9 @@
         return lambda: self._cluster.start_again(name)
 
     def _stop(self, number):
-        name = self._daemon(number)
+        return self._stop_process(self._daemon(number))
+
+    def _stop_process(self, name):
         self._cluster.terminate(name)
 
         def start_again():
@@ -100,6 +107,23 @@
 
         return start_again
 
+    def _restart_worker(self, number):
+        """A worker crashes, and starts again under its id."""
+        name = f"worker-{number}"
+        self._cluster.kill(name)
+        first_heartbeat_ms = round(self._random.uniform(0, LATEST_HEARTBEAT_MS))
+        time.sleep(self._random.uniform(0, LONGEST_PAUSE_S))
+        self._cluster.start_worker_again(name, first_heartbeat_ms)
+        return lambda: None
+
+    def _stop_in_turn(self, number):
+        """A runner is asked to stop, and then the dispatcher of the same number."""
+        mends = [self._stop_process(f"runner-{number}")]
+        if number <= self._cluster.layout.dispatchers:
+            time.sleep(self._random.uniform(0, LONGEST_FAULT_S))
+            mends.append(self._stop_process(f"dispatcher-{number}"))
+        return lambda: [mend() for mend in mends]
+
     def _freeze_connections(self, number):
         self._cluster.freeze_connections(f"proxy-{number}")
         return lambda: None
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -168,6 +168,10 @@
         Returns when it listens; its first heartbeat comes later.
         """
         self.kill(name)
+        self.start_worker_again(name, first_heartbeat_ms)
+
+    def start_worker_again(self, name, first_heartbeat_ms):
+        """Starts a worker that has ended; returns when it listens."""
         self._processes[name].close()
         runner = name.replace("worker", "runner")
         self._launch_worker(runner, first_heartbeat_ms).wait_ready()
