--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,8 @@
 
 from tests import known_red
 
-pytest_plugins = ["tests.promises.checks"]  # steps that several features share
+# Steps that several features share.
+pytest_plugins = ["tests.promises.checks", "tests.promises.submissions"]
 _ENTRIES = pytest.StashKey()
 
 
--- a/tests/promises/conftest.py
+++ b/tests/promises/conftest.py
@@ -15,7 +15,6 @@
 from tests.standins.cluster import Cluster
 from tests.standins.history import LeaseLapsed, TaskStarted
 from tests.standins.layout import Layout
-from tests.standins.load import Load
 
 from .world import World
 
@@ -41,8 +40,6 @@
     "delay_ms": 300,
     "lose_append_answers": 1,
 }
-LOAD_CALLERS = 4
-TRANSIENT_CALLERS = 2  # stored jobs get no answer while the log is away
 PUBLISH_TRIES = 20
 WHO = r"the owner|the placer|an entry|a runner with tasks|dispatcher-\d|runner-\d"
 
@@ -81,13 +78,6 @@
     return World(stack.enter_context(Cluster(layout, tmp_path)))
 
 
-@given("callers that submit jobs all the time")
-def start_load(world, stack):
-    world.load = Load(world.cluster, LOAD_CALLERS, TRANSIENT_CALLERS)
-    world.load.start()
-    stack.callback(world.load.stop)
-
-
 @given(parsers.parse("every worker has the fault {fault}"))
 @when(parsers.parse("every worker has the fault {fault}"))
 def break_workers(world, fault):
@@ -126,78 +116,6 @@
 # When
 
 
-@when(
-    parsers.re(
-        r"a (?P<kind>stored|transient) job of (?P<tasks>\d+) tasks of "
-        r"(?P<run_ms>\d+) ms is submitted to (?P<dispatcher>dispatcher-\d|an entry)$"
-    )
-)
-def submit_job(world, kind, tasks, run_ms, dispatcher):
-    world.submit_new(kind, int(tasks), int(run_ms), world.find(dispatcher))
-
-
-@when(
-    parsers.parse(
-        "each dispatcher is frozen {rounds:d} times, while callers of {count:d} jobs "
-        "leave it for the others"
-    )
-)
-def freeze_and_leave(world, rounds, count):
-    for frozen in world.dispatchers * rounds:
-        world.leave_for_others(frozen, count)
-
-
-@when(
-    parsers.parse(
-        "a stored job of {tasks:d} tasks of {run_ms:d} ms is submitted "
-        "to both dispatchers at once"
-    )
-)
-def submit_to_both(world, tasks, run_ms):
-    world.submit_new("stored", tasks, run_ms, "dispatcher-1")
-    world.submit("dispatcher-2")
-
-
-@when(parsers.re(r"the same id is submitted to (?P<dispatcher>dispatcher-\d)$"))
-def submit_again(world, dispatcher):
-    world.submit(dispatcher)
-
-
-@when(parsers.parse("the same id is submitted to {dispatcher} after {seconds:f} s"))
-def submit_again_later(world, dispatcher, seconds):
-    time.sleep(seconds)
-    world.submit(world.find(dispatcher))
-
-
-@when(parsers.parse("another job is submitted under the same id to {dispatcher}"))
-def submit_other_job(world, dispatcher):
-    other = world.job | {"spec": "another"}
-    world.submit(dispatcher, other)
-
-
-@when(
-    parsers.parse(
-        "{count:d} stored jobs of {tasks:d} tasks of {run_ms:d} ms are submitted "
-        "and canceled in turn"
-    )
-)
-def cancel_wave(world, count, tasks, run_ms):
-    world.cancel_wave(count, tasks, run_ms)
-
-
-@when(
-    parsers.parse(
-        "{count:d} stored jobs of {tasks:d} tasks of {run_ms:d} ms are completed "
-        "at {dispatcher}"
-    )
-)
-def complete_jobs(world, count, tasks, run_ms, dispatcher):
-    for _ in range(count):
-        world.submit_new("stored", tasks, run_ms, dispatcher)
-        world.wait_state("completed", dispatcher)
-        world.completed.append(world.job_id)
-
-
 @when(parsers.parse("{count:d} tasks have started"))
 def wait_for_starts(world, count):
     world.cluster.wait_for(
@@ -316,19 +234,6 @@
     time.sleep(seconds)
 
 
-@when(parsers.re(r"(?P<count>\d+) (more )?jobs are answered"))
-def wait_for_load(world, count):
-    wanted = len(world.load.told) + int(count)
-    world.cluster.wait_for(
-        lambda: len(world.load.told) >= wanted, "the load is not answered"
-    )
-
-
-@when("the callers stop")
-def stop_load(world):
-    world.load.stop()
-
-
 @when("that worker says that it leaves")
 def leave(world):
     world.cluster.leave(world.worker)
