--- a/packages/daemon/banyanwheel_daemon/members.py
+++ b/packages/daemon/banyanwheel_daemon/members.py
@@ -24,7 +24,7 @@
 MAX_UNKNOWN_CHECKS = 3  # in a row, before a process registers again
 REMOVAL_TIMEOUT_S = 0.5  # a process that stops waits no longer for its removal
 COALESCING_S = 0.05  # many processes that start together change the list at once
-MAX_POWER = 1e6
+MAX_POWER = 1e6  # of a processor, relative to others; a larger one is no speed
 _DRAIN_PREFIX = "drain/"
 _DRAINED = b"\x01"  # any value will do: the log drops a key without one
 
--- a/packages/daemon/banyanwheel_daemon/operations.py
+++ b/packages/daemon/banyanwheel_daemon/operations.py
@@ -76,9 +76,10 @@
     """Executes operators' commands over all dispatchers.
 
     ``others()`` returns the addresses of the other dispatchers,
-    ``send(address, message)`` sends to one of them, ``send_reply(entry, message)`` to
-    one life of it, an (address, incarnation). ``gateway`` is the RequestGateway that
-    submits and cancels jobs, and ``partitions`` is the number of partitions.
+    ``send(address, message)`` sends to one of them, and ``send_reply(asker, message)``
+    to one incarnation of it, an (address, incarnation). ``gateway`` is the
+    RequestGateway that submits and cancels jobs, and ``partitions`` is the number of
+    partitions.
     """
 
     def __init__(
@@ -202,18 +203,18 @@
             rows.extend(answered)
         return rows, tuple(sorted(others - pending.rows.keys()))
 
-    def handle_inspect(self, entry, message):
+    def handle_inspect(self, asker, message):
         """Answers another dispatcher's question with rows, or with a fault.
 
-        ``entry`` is its (address, incarnation); the answer is for that one only.
+        ``asker`` is its (address, incarnation); the answer is for that one only.
         """
         try:
             rows = self._inspector.answer(parse(message.command))
         except FindingsError as error:
-            self._send_reply(entry, InspectionResult(message.number, b"", str(error)))
+            self._send_reply(asker, InspectionResult(message.number, b"", str(error)))
             return
         data = Inspector.encode(rows)
-        self._send_reply(entry, InspectionResult(message.number, data))
+        self._send_reply(asker, InspectionResult(message.number, data))
 
     def handle_inspection(self, address, message, event_log):
         """Collects the rows that another dispatcher sent.
--- a/packages/daemon/banyanwheel_daemon/request_gateway.py
+++ b/packages/daemon/banyanwheel_daemon/request_gateway.py
@@ -44,7 +44,7 @@
 
     ``clocks`` are a function for the monotonic time in seconds and one for the wall
     clock in milliseconds. ``send(address, message)`` sends to another dispatcher,
-    ``send_reply(entry, message)`` to one life of it, an (address, incarnation).
+    ``send_reply(entry, message)`` to one incarnation of it, an (address, incarnation).
     ``ownership.stalled(partition)`` returns whether the log doesn't answer for a
     partition; ``ownership.call_when_confirmed(callback)`` calls back once the log has
     confirmed again which partitions are assigned to this dispatcher. ``transient`` are
--- a/packages/daemon/banyanwheel_daemon/transient_requests.py
+++ b/packages/daemon/banyanwheel_daemon/transient_requests.py
@@ -13,8 +13,9 @@
 # After a power loss of all machines, a placer is heard of within this time.
 UNROUTED_TIMEOUT_S = 2.5
 MAX_PLACERS_TRIED = 3
-# Well within the time after which a caller comes again.
-PAUSE_S = 0.3  # without any work, the process has stood still
+# A process that has done nothing for so long has stood still. Callers that left
+# meanwhile come again after 1.3 s, so this is well within their time.
+PAUSE_S = 0.3
 SELF = ""  # stands for this dispatcher among the placers that were tried
 
 
@@ -22,8 +23,8 @@
     """Withdraws nothing: the job runs nowhere yet."""
 
 
-def _always():
-    """Tells of a caller without a connection of its own that it is there."""
+def _is_always_connected():
+    """Stands for the check of a caller that has no connection of its own."""
     return True
 
 
@@ -35,7 +36,7 @@
     reply: object
     received_at: float
     expires_at: float
-    is_connected: object = _always
+    is_connected: object = _is_always_connected
     done: bool = False
     abandon: object = field(default=_not_running)  # withdraws it where it runs
 
@@ -75,9 +76,9 @@
         while this process stood still, and the job may run elsewhere by now.
         """
         self.check_pause()
-        is_connected = is_connected or _always
+        is_connected = is_connected or _is_always_connected
         if not is_connected():
-            self._log_absent(job_id)
+            self._log_caller_left(job_id)
             return _not_running
         now = self._now()
         submission = Submission(
@@ -116,10 +117,10 @@
         if not paused:
             return
         for request in [each for each in self._requests if not each.is_connected()]:
-            self._log_absent(request.submission.job_id)
+            self._log_caller_left(request.submission.job_id)
             self._abandon(request)
 
-    def _log_absent(self, job_id):
+    def _log_caller_left(self, job_id):
         self._event_log("request:refused", job=job_id, reason="caller-left")
         self._event_log.count("banyanwheel.refusals", "caller-left")
 
