--- a/review/standins_2/system.py
+++ b/review/standins_2/system.py
@@ -20,13 +20,14 @@
 from .platform_log import PlatformLog
 from .worker import Worker
 
-__all__ = ["HOST", "SERVICE", "CannotRun", "System", "job_ids", "run_case"]
+__all__ = ["CPU", "HOST", "SERVICE", "CannotRun", "System", "job_ids", "run_case"]
 
 ROOT = Path(__file__).resolve().parents[2]
 PORTS = {"peers": 7720, "app": 8165, "control": 8166, "front": 8161, "ready": 8167}
 LOG_PORT = 8169
 HOST = "desk.example"
 SERVICE = "desk"
+CPU = 32_000
 ZONES = ("zone-1", "zone-2", "zone-3")
 BOUNDS = {"graceS": 6, "holdMaxMs": 1000, "status_s": 120, "crossRackFactor": 1.5}
 LIMITS = {"cpuShare": 0.537, "cores": 2}
@@ -76,7 +77,9 @@
 class System:
     """The deployment; ``async with`` starts it and ends all that it started."""
 
-    def __init__(self, record, routes, fronts=3, sides=3, racks=None, seed=0):
+    def __init__(
+        self, record, routes, fronts=3, sides=3, racks=None, kinds=None, seed=0
+    ):
         self.record = record
         self.log = PlatformLog(record)
         self._routes = routes
@@ -89,14 +92,17 @@
         self.sides = [
             self._machine("runner", "side", 2, number) for number in range(sides)
         ]
+        racks = racks or [f"r1-{number + 1}" for number in range(sides)]
+        kinds = kinds or [(SERVICE, CPU)] * sides  # service and cpu by worker
         self.workers = [
             Worker(
                 f"i-{number + 1}",
-                SERVICE,
+                kinds[number][0],
                 side.address("app"),
                 side.address("control"),
                 record,
-                ["a", racks[number] if racks else f"r1-{number + 1}"],
+                ["a", racks[number]],
+                cpu=kinds[number][1],
                 seed=seed,
             )
             for number, side in enumerate(self.sides)
