Review case 8: a retried task waits for a full worker beside an idle one

The stand-in of a worker now resets its connections when it crashes, and carries out no late order after that; cases 6 and 7 have no crash.

--- a/review/standins_2/http.py
+++ b/review/standins_2/http.py
@@ -4,7 +4,7 @@
 import json
 from urllib.parse import parse_qsl
 
-__all__ = ["CUT", "HANG", "NoAnswer", "Request", "call", "serve"]
+__all__ = ["CUT", "HANG", "NoAnswer", "Request", "Server", "call", "serve"]
 
 CUT = object()  # the connection is closed without an answer
 HANG = object()  # the connection stays open without an answer
@@ -42,18 +42,42 @@
     return lines[0], headers, body
 
 
-async def serve(host, port, handle):
-    """Serves ``await handle(request)``: (status, object or bytes), CUT or HANG."""
+class Server:
+    """A server and its open connections."""
+
+    def __init__(self, handle):
+        self._handle = handle
+        self._writers = set()
+        self._server = None
+
+    async def listen(self, host, port):
+        """Begins to listen."""
+        self._server = await asyncio.start_server(
+            self._connected, host, port, limit=2**22
+        )
 
-    async def connected(reader, writer):
+    def close(self):
+        """Takes no more connections, and resets those that are open."""
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _connected(self, reader, writer):
+        self._writers.add(writer)
         try:
-            await _serve_connection(reader, writer, handle)
+            await _serve_connection(reader, writer, self._handle)
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
-    return await asyncio.start_server(connected, host, port, limit=2**22)
+
+async def serve(host, port, handle):
+    """Serves ``await handle(request)``: (status, object or bytes), CUT or HANG."""
+    server = Server(handle)
+    await server.listen(host, port)
+    return server
 
 
 async def _serve_connection(reader, writer, handle):
--- a/review/standins_2/system.py
+++ b/review/standins_2/system.py
@@ -78,7 +78,15 @@
     """The deployment; ``async with`` starts it and ends all that it started."""
 
     def __init__(
-        self, record, routes, fronts=3, sides=3, racks=None, kinds=None, seed=0
+        self,
+        record,
+        routes,
+        fronts=3,
+        sides=3,
+        racks=None,
+        kinds=None,
+        labels=None,
+        seed=0,
     ):
         self.record = record
         self.log = PlatformLog(record)
@@ -93,6 +101,7 @@
             self._machine("runner", "side", 2, number) for number in range(sides)
         ]
         racks = racks or [f"r1-{number + 1}" for number in range(sides)]
+        labels = labels or ["a"] * sides
         kinds = kinds or [(SERVICE, CPU)] * sides  # service and cpu by worker
         self.workers = [
             Worker(
@@ -101,7 +110,7 @@
                 side.address("app"),
                 side.address("control"),
                 record,
-                ["a", racks[number]],
+                [labels[number], racks[number]],
                 cpu=kinds[number][1],
                 seed=seed,
             )
--- a/review/standins_2/worker.py
+++ b/review/standins_2/worker.py
@@ -35,7 +35,8 @@
     """One worker and its lives.
 
     With a ``late_share``, so many of the orders get no answer and are carried out
-    later. While it is ``shedding``, it refuses starts with 503 and does nothing.
+    later. While it is ``shedding``, it refuses starts with 503 and does nothing. While
+    it is ``failing``, all tasks end as failed.
     ``starts`` and ``ends`` hold (time, task, run) and (time, task, run, how).
     """
 
@@ -48,6 +49,7 @@
     cpu: int = 32_000
     late_share: float = 0.0
     shedding: bool = False
+    failing: bool = False
     seed: int = 0
     starts: list = field(default_factory=list)
     ends: list = field(default_factory=list)
@@ -131,7 +133,7 @@
             now = self.clock
             for key, run in list(self._running.items()):
                 if run.began + run.length <= now:
-                    self._end(key, "done")
+                    self._end(key, "failed" if self.failing else "done")
                 elif self._deadline < now:
                     self._end(key, "lapsed")
             await asyncio.sleep(LOOK_S)
@@ -160,7 +162,10 @@
                 task=body.get("task", ""),
                 by_s=round(delay_s, 2),
             )
-            asyncio.get_running_loop().call_later(delay_s, order, body)
+            born = self.born
+            asyncio.get_running_loop().call_later(
+                delay_s, lambda: self.born == born and self.up and order(body)
+            )
             return HANG
         status, fields = order(body)
         if request.path == "/hold" and status == 200:
