--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A full service keeps the jobs of another, idle service from running."""
+"""Jobs that no worker may run at present keep other jobs from running."""
 
 import asyncio
 import json
@@ -8,49 +8,49 @@
 from pathlib import Path
 
 from review.standins_2.record import Record
-from review.standins_2.system import CPU, HOST, SERVICE, System, job_ids, run_case
+from review.standins_2.system import HOST, SERVICE, System, job_ids, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SEED = int(os.environ.get("SEED", "1"))
-SMALL_SERVICE = "lookup"
-KINDS = [(SMALL_SERVICE, 4_000), *[(SERVICE, CPU)] * 3]
-USUAL_JOBS = 3
-BURST_JOBS = 7  # 2.33 times the usual ones
-LARGE_TASKS = 15
-LARGE_MS = 40_000
-SMALL_JOBS = 10
+SIDES = 8
+RACKS = [f"r1-{number + 1}" for number in range(SIDES)]
+RACK_JOBS = 180
+OTHER_JOBS = 20
 FINISH_S = 14.0
 STUCK_S = 3.0
-
-
-def route(name, service):
-    """Returns the route of a queue."""
-    return {
-        "name": name,
+PREFIX = "/trade/"
+ROUTES = [
+    {
+        "name": "trade",
         "host": HOST,
-        "pathPrefix": f"/{name}/",
-        "service": service,
+        "pathPrefix": PREFIX,
+        "service": SERVICE,
         "maxAttempts": 4,
         "slackFactor": 1.6,
         "completionTargetMs": 30_000,
     }
+]
 
 
-ROUTES = [route("trade", SERVICE), route("vin", SMALL_SERVICE)]
+def rack_job():
+    """Returns a job that only the workers of the last rack may run."""
+    step = {"count": 1, "cpu": 200, "memMb": 64, "estimateMs": 1000}
+    step["requiredLabel"] = RACKS[-1]
+    return {"spec": json.dumps({"ms": 1000}), "steps": [step]}
 
 
-def job(count, ms):
-    """Returns a job of one step, each task of which needs one core."""
-    step = {"count": count, "cpu": 1000, "memMb": 64, "estimateMs": ms}
-    return {"spec": json.dumps({"ms": ms}), "steps": [step]}
+def other_job():
+    """Returns a job that any worker may run."""
+    step = {"count": 2, "cpu": 500, "memMb": 64, "estimateMs": 1000}
+    return {"spec": json.dumps({"ms": 1000}), "steps": [step]}
 
 
-async def hand_in(system, prefix, ids, body):
-    """Hands jobs in; returns the accepted ids."""
+async def hand_in(system, jobs):
+    """Hands jobs in by id; returns the accepted ids."""
     accepted = []
-    for number, job_id in enumerate(ids):
+    for number, (job_id, body) in enumerate(jobs.items()):
         order = [system.fronts[(number + part) % 3] for part in range(3)]
-        if await system.submit(prefix + job_id, body, order) == 200:
+        if await system.submit(PREFIX + job_id, body, order) == 200:
             accepted.append(job_id)
     return accepted
 
@@ -71,34 +71,36 @@
             starts[key] < ended_at and ends.get(key, (ended_at, ""))[0] > began_at
             for key in mine
         )
-        if len(done) < 1 and not active:
+        if len(done) < 2 and not active:
             idle.append(job_id)
     return idle
 
 
 async def case():
-    """Returns whether jobs of an idle service have nothing running."""
+    """Returns whether jobs that any worker may run have nothing running."""
     record = Record(Path(__file__).with_name("record.txt"))
-    large = BURST_JOBS if TROUBLE else USUAL_JOBS
-    ids = job_ids(large + SMALL_JOBS, SEED)
+    ids = job_ids(RACK_JOBS + OTHER_JOBS, SEED)
     async with System(
-        record, ROUTES, fronts=3, sides=len(KINDS), kinds=KINDS, seed=SEED
+        record, ROUTES, fronts=3, sides=SIDES, racks=RACKS, seed=SEED
     ) as system:
-        await asyncio.sleep(3.0)
-        record("burst" if TROUBLE else "usual", jobs=large)
-        await hand_in(system, "/trade/", ids[:large], job(LARGE_TASKS, LARGE_MS))
+        await asyncio.sleep(2.0)
+        if TROUBLE:
+            system.workers[-1].crash()
+        await asyncio.sleep(2.0)
+        await hand_in(system, dict.fromkeys(ids[:RACK_JOBS], rack_job()))
         await asyncio.sleep(1.0)
-        accepted = await hand_in(system, "/vin/", ids[large:], job(1, 1_000))
+        others = dict.fromkeys(ids[RACK_JOBS:], other_job())
+        accepted = await hand_in(system, others)
         record("traffic-ends")
         await asyncio.sleep(FINISH_S)
         began_at = time.monotonic()
         await asyncio.sleep(STUCK_S)
         stuck = stuck_jobs(system, accepted, began_at, time.monotonic())
         for number, job_id in enumerate(stuck):
-            await system.ask(system.fronts[number % 3], "GET", f"/vin/{job_id}")
+            await system.ask(system.fronts[number % 3], "GET", PREFIX + job_id)
     record("accepted", jobs=len(accepted))
     record("LOST" if stuck else "held", stuck=len(stuck), jobs=stuck)
-    print(f"{len(accepted)} jobs of the idle service, {len(stuck)} not running")
+    print(f"{len(accepted)} jobs of any worker, {len(stuck)} with nothing running")
     return bool(stuck)
 
 
