--- a/review/7/case.py
+++ b/review/7/case.py
@@ -16,7 +16,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SEED = int(os.environ.get("SEED", "1"))
 SIDES = 8
-ROUNDS = 6
+ROUNDS = 10
 JOBS = 16
 TASKS = 12
 TASK_MS = 8000
