--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,11 +1,8 @@
-"""A broken connection and unanswered orders: tasks run twice at the same time."""
+"""The late DELETE of a worker's former life: tasks run twice at the same time."""
 
 import asyncio
 import json
 import os
-import random
-import socket
-import struct
 import sys
 import time
 from pathlib import Path
@@ -15,60 +12,62 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SEED = int(os.environ.get("SEED", "1"))
-SIDES = 8
-ROUNDS = 10
-JOBS = 16
-TASKS = 12
-TASK_MS = 8000
-LATE_SHARE = 0.5
-LATE_FOR_S = 5.0
-RESET_SHARE = 0.55
-RETRY_DELAY_S = 1.3
-DEADLINE_S = 20.0
-PREFIX = "/quote/"
+SIDES = 6
+JOBS = 40
+TASKS = 4
+TASK_MS = 6000
+DRAIN_S = 2.0  # `drainMs`
+CUT_S = 3.5
+RETRANSMITTED_S = 6.2  # after 0.2, 0.6, 1.4 and 3.0 s
+PREFIX = "/trade/"
 ROUTES = [
     {
-        "name": "quote",
+        "name": "trade",
         "host": HOST,
         "pathPrefix": PREFIX,
         "service": SERVICE,
         "maxAttempts": 4,
         "slackFactor": 1.6,
-        "completionTargetMs": 8000,
+        "completionTargetMs": 4000,
     }
 ]
 
 
 def job():
-    """Returns a job that needn't be stored."""
+    """Returns a stored job."""
     step = {"count": TASKS, "cpu": 1000, "memMb": 64, "estimateMs": TASK_MS}
-    return {"spec": json.dumps({"ms": TASK_MS}), "steps": [step], "bestEffort": True}
-
-
-def reset(writer):
-    """Resets a connection."""
-    option = struct.pack("ii", 1, 0)
-    writer.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, option
-    )
-    writer.transport.abort()
-
-
-async def client(system, job_id, connections):
-    """Hands a job in, and again after no answer, 502 or 504, as the pages say."""
-    for attempt in range(3):
-        front = system.fronts[attempt % 3]
-        status, _ = await system.ask(
-            front,
-            "POST",
-            PREFIX + job_id,
-            job(),
-            DEADLINE_S,
-            lambda writer: connections.__setitem__(job_id, writer),
-        )
-        if status not in (None, 502, 504):
-            return
-        await asyncio.sleep(RETRY_DELAY_S)
+    return {"spec": json.dumps({"ms": TASK_MS}), "steps": [step]}
+
+
+async def leave_and_return(worker):
+    """The worker leaves as planned, and starts again under its id.
+
+    The disruption is a cut between it and its machine that begins before its DELETE.
+    """
+    worker.draining = True
+    await worker.tell("PUT", worker.heartbeat())
+    await asyncio.sleep(DRAIN_S + 0.2)
+    if TROUBLE:
+        worker.cut_off = True
+        worker.record("cut", worker=worker.name)
+    delay_s = RETRANSMITTED_S if TROUBLE else 0.0
+    delete = asyncio.create_task(send_delete(worker, delay_s))
+    await asyncio.sleep(0.1)
+    worker.crash()
+    await asyncio.sleep(1.0)
+    worker.draining = False
+    await worker.start()
+    await asyncio.sleep(CUT_S - 1.1)
+    worker.cut_off = False
+    worker.record("whole", worker=worker.name)
+    return delete
+
+
+async def send_delete(worker, delay_s):
+    """Sends the DELETE; behind the cut it gets through by a retransmission."""
+    worker.record("delete-sent", worker=worker.name)
+    await asyncio.sleep(delay_s)
+    await worker.tell("DELETE")
 
 
 def overlaps(system):
@@ -92,46 +91,19 @@
     return found
 
 
-async def disrupt(system, connections, chosen):
-    """Leaves orders unanswered for a while, and resets connections to one front."""
-    for worker in system.workers:
-        worker.late_share = LATE_SHARE
-    system.record("applied-late", share=LATE_SHARE)
-    await asyncio.sleep(0.3)
-    for job_id in chosen.sample(sorted(connections), round(RESET_SHARE * JOBS)):
-        system.record("reset", job=job_id)
-        reset(connections[job_id])
-    await asyncio.sleep(LATE_FOR_S - 0.3)
-    for worker in system.workers:
-        worker.late_share = 0.0
-    system.record("applied-late", share=0)
-
-
-async def play_round(system, ids, chosen):
-    """Hands jobs in, and disturbs them; their callers leave at the end."""
-    connections = {}
-    clients = [
-        asyncio.create_task(client(system, job_id, connections)) for job_id in ids
-    ]
-    await asyncio.sleep(1.0)
-    if TROUBLE:
-        await disrupt(system, connections, chosen)
-    await asyncio.sleep(1.0)
-    for each in clients:
-        each.cancel()
-    await asyncio.gather(*clients, return_exceptions=True)
-    await asyncio.sleep(2.0)
-
-
 async def case():
     """Returns whether a task ran twice at the same time."""
     record = Record(Path(__file__).with_name("record.txt"))
-    chosen = random.Random(SEED)
-    ids = job_ids(JOBS * ROUNDS, SEED)
+    ids = job_ids(JOBS, SEED)
     async with System(record, ROUTES, fronts=3, sides=SIDES, seed=SEED) as system:
         await asyncio.sleep(3.0)
-        for first in range(0, len(ids), JOBS):
-            await play_round(system, ids[first : first + JOBS], chosen)
+        delete = await leave_and_return(system.workers[0])
+        await asyncio.sleep(1.2)
+        for number, job_id in enumerate(ids):
+            order = [system.fronts[(number + part) % 3] for part in range(3)]
+            await system.submit(PREFIX + job_id, job(), order)
+        await delete
+        await asyncio.sleep(8.0)
         twice = overlaps(system)
         starts = sum(len(worker.starts) for worker in system.workers)
     for task, seconds in twice:
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,8 +1,11 @@
-"""A task that failed once waits for a full worker though its first one is idle."""
+"""A broken connection and unanswered orders: tasks run twice at the same time."""
 
 import asyncio
 import json
 import os
+import random
+import socket
+import struct
 import sys
 import time
 from pathlib import Path
@@ -13,96 +16,129 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SEED = int(os.environ.get("SEED", "1"))
 SIDES = 8
-RACKS = [f"r1-{number + 1}" for number in range(SIDES)]
-LABELS = [*["a"] * (SIDES - 2), "b", "b"]
-GREY_S = 5.5
-LONG_MS = 60_000
-FILLING_TASKS = 32
-RETRIED_JOBS = 8
-FINISH_S = 14.0
-STUCK_S = 3.0
-PREFIX = "/part/"
+ROUNDS = 10
+JOBS = 16
+TASKS = 12
+TASK_MS = 8000
+LATE_SHARE = 0.5
+LATE_FOR_S = 5.0
+RESET_SHARE = 0.55
+RETRY_DELAY_S = 1.3
+DEADLINE_S = 20.0
+PREFIX = "/quote/"
 ROUTES = [
     {
-        "name": "part",
+        "name": "quote",
         "host": HOST,
         "pathPrefix": PREFIX,
         "service": SERVICE,
         "maxAttempts": 4,
         "slackFactor": 1.6,
-        "completionTargetMs": 60,
+        "completionTargetMs": 8000,
     }
 ]
 
 
-def job(label, count, ms):
-    """Returns a job for the workers with a label; each task needs a core."""
-    step = {"count": count, "cpu": 1000, "memMb": 64, "estimateMs": ms}
-    step["requiredLabel"] = label
-    return {"spec": json.dumps({"ms": ms}), "steps": [step]}
-
-
-async def hand_in(system, ids, body):
-    """Hands jobs in; returns the accepted ids."""
-    accepted = []
-    for number, job_id in enumerate(ids):
-        order = [system.fronts[(number + part) % 3] for part in range(3)]
-        if await system.submit(PREFIX + job_id, body, order) == 200:
-            accepted.append(job_id)
-    return accepted
-
-
-def stuck_jobs(system, ids, began_at, ended_at):
-    """Returns the jobs that aren't done and have no run between two times."""
-    idle = []
-    for job_id in ids:
-        starts, ends = {}, {}
-        for worker in system.workers:
-            starts.update({(t, r): at for at, t, r in worker.starts})
-            ends.update({(t, r): (at, how) for at, t, r, how in worker.ends})
-        mine = [key for key in starts if key[0].startswith(job_id)]
-        done = {
-            task for (task, run) in mine if ends.get((task, run), (0, ""))[1] == "done"
-        }
-        active = any(
-            starts[key] < ended_at and ends.get(key, (ended_at, ""))[0] > began_at
-            for key in mine
+def job():
+    """Returns a job that needn't be stored."""
+    step = {"count": TASKS, "cpu": 1000, "memMb": 64, "estimateMs": TASK_MS}
+    return {"spec": json.dumps({"ms": TASK_MS}), "steps": [step], "bestEffort": True}
+
+
+def reset(writer):
+    """Resets a connection."""
+    option = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, option
+    )
+    writer.transport.abort()
+
+
+async def client(system, job_id, connections):
+    """Hands a job in, and again after no answer, 502 or 504, as the pages say."""
+    for attempt in range(3):
+        front = system.fronts[attempt % 3]
+        status, _ = await system.ask(
+            front,
+            "POST",
+            PREFIX + job_id,
+            job(),
+            DEADLINE_S,
+            lambda writer: connections.__setitem__(job_id, writer),
         )
-        if len(done) < 1 and not active:
-            idle.append(job_id)
-    return idle
+        if status not in (None, 502, 504):
+            return
+        await asyncio.sleep(RETRY_DELAY_S)
+
+
+def overlaps(system):
+    """Returns (task, seconds) of the tasks with two runs at the same time."""
+    spans = {}
+    now = time.monotonic()
+    for worker in system.workers:
+        ends = {(task, run): at for at, task, run, _ in worker.ends}
+        for at, task, run in worker.starts:
+            spans.setdefault(task, []).append((at, ends.get((task, run), now)))
+    found = []
+    for task, rows in spans.items():
+        rows.sort()
+        for (_, first_end), (second_start, second_end) in zip(
+            rows, rows[1:], strict=False
+        ):
+            if second_start < first_end:
+                found.append(
+                    (task, round(min(first_end, second_end) - second_start, 3))
+                )
+    return found
+
+
+async def disrupt(system, connections, chosen):
+    """Leaves orders unanswered for a while, and resets connections to one front."""
+    for worker in system.workers:
+        worker.late_share = LATE_SHARE
+    system.record("applied-late", share=LATE_SHARE)
+    await asyncio.sleep(0.3)
+    for job_id in chosen.sample(sorted(connections), round(RESET_SHARE * JOBS)):
+        system.record("reset", job=job_id)
+        reset(connections[job_id])
+    await asyncio.sleep(LATE_FOR_S - 0.3)
+    for worker in system.workers:
+        worker.late_share = 0.0
+    system.record("applied-late", share=0)
+
+
+async def play_round(system, ids, chosen):
+    """Hands jobs in, and disturbs them; their callers leave at the end."""
+    connections = {}
+    clients = [
+        asyncio.create_task(client(system, job_id, connections)) for job_id in ids
+    ]
+    await asyncio.sleep(1.0)
+    if TROUBLE:
+        await disrupt(system, connections, chosen)
+    await asyncio.sleep(1.0)
+    for each in clients:
+        each.cancel()
+    await asyncio.gather(*clients, return_exceptions=True)
+    await asyncio.sleep(2.0)
 
 
 async def case():
-    """Returns whether jobs have nothing running, though a worker is idle."""
+    """Returns whether a task ran twice at the same time."""
     record = Record(Path(__file__).with_name("record.txt"))
-    ids = job_ids(RETRIED_JOBS + 1, SEED)
-    async with System(
-        record, ROUTES, fronts=3, sides=SIDES, racks=RACKS, labels=LABELS, seed=SEED
-    ) as system:
-        grey = system.workers[-2]
+    chosen = random.Random(SEED)
+    ids = job_ids(JOBS * ROUNDS, SEED)
+    async with System(record, ROUTES, fronts=3, sides=SIDES, seed=SEED) as system:
         await asyncio.sleep(3.0)
-        # The tasks of this job fill the last worker.
-        await hand_in(system, ids[:1], job(RACKS[-1], FILLING_TASKS, LONG_MS))
-        await asyncio.sleep(1.0)
-        if TROUBLE:
-            grey.failing = True
-            record("failing", worker=grey.name)
-        accepted = await hand_in(system, ids[1:], job("b", 1, 1000))
-        record("traffic-ends")
-        await asyncio.sleep(GREY_S)
-        grey.failing = False
-        record("sound", worker=grey.name)
-        await asyncio.sleep(FINISH_S - GREY_S)
-        began_at = time.monotonic()
-        await asyncio.sleep(STUCK_S)
-        stuck = stuck_jobs(system, accepted, began_at, time.monotonic())
-        for number, job_id in enumerate(stuck):
-            await system.ask(system.fronts[number % 3], "GET", PREFIX + job_id)
-    record("accepted", jobs=len(accepted))
-    record("LOST" if stuck else "held", stuck=len(stuck), jobs=stuck)
-    print(f"{len(accepted)} jobs, {len(stuck)} with nothing running")
-    return bool(stuck)
+        for first in range(0, len(ids), JOBS):
+            await play_round(system, ids[first : first + JOBS], chosen)
+        twice = overlaps(system)
+        starts = sum(len(worker.starts) for worker in system.workers)
+    for task, seconds in twice:
+        record("twice", task=task, both_s=seconds)
+    record("TWICE" if twice else "held", tasks=len(twice), starts=starts)
+    print(f"{starts} starts, {len(twice)} tasks ran twice at the same time: {twice}")
+    return bool(twice)
 
 
 if __name__ == "__main__":
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Jobs that no worker may run at present keep other jobs from running."""
+"""A task that failed once waits for a full worker though its first one is idle."""
 
 import asyncio
 import json
@@ -14,41 +14,38 @@
 SEED = int(os.environ.get("SEED", "1"))
 SIDES = 8
 RACKS = [f"r1-{number + 1}" for number in range(SIDES)]
-RACK_JOBS = 180
-OTHER_JOBS = 20
+LABELS = [*["a"] * (SIDES - 2), "b", "b"]
+GREY_S = 5.5
+LONG_MS = 60_000
+FILLING_TASKS = 32
+RETRIED_JOBS = 8
 FINISH_S = 14.0
 STUCK_S = 3.0
-PREFIX = "/trade/"
+PREFIX = "/part/"
 ROUTES = [
     {
-        "name": "trade",
+        "name": "part",
         "host": HOST,
         "pathPrefix": PREFIX,
         "service": SERVICE,
         "maxAttempts": 4,
         "slackFactor": 1.6,
-        "completionTargetMs": 30_000,
+        "completionTargetMs": 60,
     }
 ]
 
 
-def rack_job():
-    """Returns a job that only the workers of the last rack may run."""
-    step = {"count": 1, "cpu": 200, "memMb": 64, "estimateMs": 1000}
-    step["requiredLabel"] = RACKS[-1]
-    return {"spec": json.dumps({"ms": 1000}), "steps": [step]}
+def job(label, count, ms):
+    """Returns a job for the workers with a label; each task needs a core."""
+    step = {"count": count, "cpu": 1000, "memMb": 64, "estimateMs": ms}
+    step["requiredLabel"] = label
+    return {"spec": json.dumps({"ms": ms}), "steps": [step]}
 
 
-def other_job():
-    """Returns a job that any worker may run."""
-    step = {"count": 2, "cpu": 500, "memMb": 64, "estimateMs": 1000}
-    return {"spec": json.dumps({"ms": 1000}), "steps": [step]}
-
-
-async def hand_in(system, jobs):
-    """Hands jobs in by id; returns the accepted ids."""
+async def hand_in(system, ids, body):
+    """Hands jobs in; returns the accepted ids."""
     accepted = []
-    for number, (job_id, body) in enumerate(jobs.items()):
+    for number, job_id in enumerate(ids):
         order = [system.fronts[(number + part) % 3] for part in range(3)]
         if await system.submit(PREFIX + job_id, body, order) == 200:
             accepted.append(job_id)
@@ -71,28 +68,32 @@
             starts[key] < ended_at and ends.get(key, (ended_at, ""))[0] > began_at
             for key in mine
         )
-        if len(done) < 2 and not active:
+        if len(done) < 1 and not active:
             idle.append(job_id)
     return idle
 
 
 async def case():
-    """Returns whether jobs that any worker may run have nothing running."""
+    """Returns whether jobs have nothing running, though a worker is idle."""
     record = Record(Path(__file__).with_name("record.txt"))
-    ids = job_ids(RACK_JOBS + OTHER_JOBS, SEED)
+    ids = job_ids(RETRIED_JOBS + 1, SEED)
     async with System(
-        record, ROUTES, fronts=3, sides=SIDES, racks=RACKS, seed=SEED
+        record, ROUTES, fronts=3, sides=SIDES, racks=RACKS, labels=LABELS, seed=SEED
     ) as system:
-        await asyncio.sleep(2.0)
-        if TROUBLE:
-            system.workers[-1].crash()
-        await asyncio.sleep(2.0)
-        await hand_in(system, dict.fromkeys(ids[:RACK_JOBS], rack_job()))
+        grey = system.workers[-2]
+        await asyncio.sleep(3.0)
+        # The tasks of this job fill the last worker.
+        await hand_in(system, ids[:1], job(RACKS[-1], FILLING_TASKS, LONG_MS))
         await asyncio.sleep(1.0)
-        others = dict.fromkeys(ids[RACK_JOBS:], other_job())
-        accepted = await hand_in(system, others)
+        if TROUBLE:
+            grey.failing = True
+            record("failing", worker=grey.name)
+        accepted = await hand_in(system, ids[1:], job("b", 1, 1000))
         record("traffic-ends")
-        await asyncio.sleep(FINISH_S)
+        await asyncio.sleep(GREY_S)
+        grey.failing = False
+        record("sound", worker=grey.name)
+        await asyncio.sleep(FINISH_S - GREY_S)
         began_at = time.monotonic()
         await asyncio.sleep(STUCK_S)
         stuck = stuck_jobs(system, accepted, began_at, time.monotonic())
@@ -100,7 +101,7 @@
             await system.ask(system.fronts[number % 3], "GET", PREFIX + job_id)
     record("accepted", jobs=len(accepted))
     record("LOST" if stuck else "held", stuck=len(stuck), jobs=stuck)
-    print(f"{len(accepted)} jobs of any worker, {len(stuck)} with nothing running")
+    print(f"{len(accepted)} jobs, {len(stuck)} with nothing running")
     return bool(stuck)
 
 
--- a/review/standins_2/worker.py
+++ b/review/standins_2/worker.py
@@ -36,7 +36,8 @@
 
     With a ``late_share``, so many of the orders get no answer and are carried out
     later. While it is ``shedding``, it refuses starts with 503 and does nothing. While
-    it is ``failing``, all tasks end as failed.
+    it is ``failing``, all tasks end as failed; while it is ``cut_off``, nothing passes
+    between it and its machine.
     ``starts`` and ``ends`` hold (time, task, run) and (time, task, run, how).
     """
 
@@ -50,6 +51,8 @@
     late_share: float = 0.0
     shedding: bool = False
     failing: bool = False
+    draining: bool = False
+    cut_off: bool = False
     seed: int = 0
     starts: list = field(default_factory=list)
     ends: list = field(default_factory=list)
@@ -105,27 +108,35 @@
             self._end(key, "crashed")
         self.record("worker-crashed", worker=self.name)
 
+    async def tell(self, method, body=None):
+        """Calls the control address of its machine; raises NoAnswer."""
+        path = f"/instances/{self.name}"
+        status, _ = await call(self.control, method, path, body, timeout_s=1.0)
+        self.record("worker-tells", worker=self.name, call=method, status=status)
+
+    def heartbeat(self):
+        """Returns its next heartbeat."""
+        self._sequence += 1
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "zone-1",
+            "version": "v1",
+            "slots": 8,
+            "state": "draining" if self.draining else "ready",
+            "warmupLeftMs": 0,
+            "capacity": {"cpu": self.cpu, "memMb": 65_536, "gpu": 0},
+            "labels": self.labels,
+            "clockMs": self.clock,
+            "seq": self._sequence,
+            "born": self.born,
+        }
+
     async def _beat(self):
         while True:
-            self._sequence += 1
-            beat = {
-                "service": self.service,
-                "address": self.address,
-                "zone": "zone-1",
-                "version": "v1",
-                "slots": 8,
-                "state": "ready",
-                "warmupLeftMs": 0,
-                "capacity": {"cpu": self.cpu, "memMb": 65_536, "gpu": 0},
-                "labels": self.labels,
-                "clockMs": self.clock,
-                "seq": self._sequence,
-                "born": self.born,
-            }
-            with contextlib.suppress(NoAnswer):
-                await call(
-                    self.control, "PUT", f"/instances/{self.name}", beat, timeout_s=1.0
-                )
+            if not self.cut_off:
+                with contextlib.suppress(NoAnswer):
+                    await self.tell("PUT", self.heartbeat())
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _look(self):
@@ -149,6 +160,8 @@
         self._changed = asyncio.Event()
 
     async def _handle(self, request):
+        if self.cut_off:
+            return HANG
         if request.headers.get("target-instance") != self.name:
             return 421, {"clockMs": self.clock, "born": self.born}
         body = request.json
