--- a/review/standins_2/system.py
+++ b/review/standins_2/system.py
@@ -14,6 +14,7 @@
 import subprocess
 import tempfile
 import tomllib
+import traceback
 from pathlib import Path
 
 from .http import NoAnswer, call
@@ -293,8 +294,12 @@
     """
     try:
         broken = asyncio.run(case())
-    except (CannotRun, OSError) as error:
+    except CannotRun as error:
         print(f"cannot run: {error}")
         return 2
+    except Exception:
+        # An error of the script itself says nothing about the rule.
+        traceback.print_exc()
+        return 2
     print("rule broken" if broken else "rule held")
     return 1 if broken else 0
