Begin a membership only once the log has confirmed the end of the last

Cause: a partition's epoch is the group's generation, and each ownership numbers its appends from 0. A new process ended its predecessor's membership in one try. If the log refused that call, the process renewed the old membership: same generation, same epoch, same numbers. The log took up to five appends of each partition for repeats and stored nothing.

The new unit tests store through a fake log with the stand-in's rules on epochs, and miss the record on the old code.

Change: the leave is repeated until it is confirmed, before any join. The join then changes the group, so its generation is one that no former ownership used.

Relatives, mended with it: a dispatcher that ceases to place tasks and could not leave; a partition that was closed out of sequence and was opened again under the same epoch (the process now leaves and joins anew). Looked at and sound: leaves and joins of the former process that are carried out late.

Tests: three in tests/daemon/test_ownership.py; all three failed before.

--- a/packages/daemon/banyanwheel_daemon/ownership.py
+++ b/packages/daemon/banyanwheel_daemon/ownership.py
@@ -29,6 +29,11 @@
     have been opened or closed; the coroutine ``refresh()`` reads the list of members
     before a partition is opened. While ``eligible()`` returns False, the process stays
     out of the group.
+
+    A partition's epoch is the group's generation, and its appends are numbered from 0,
+    so that each ownership needs a generation of its own. A membership is therefore
+    begun only once the log has confirmed the end of the one before, which may be that
+    of a former process with the same name.
     """
 
     def __init__(
@@ -56,6 +61,8 @@
         self._generation = 0
         self._renewal_due = asyncio.Event()
         self._assigned = frozenset()
+        self._former_membership = True  # one that has not been ended may be left
+        self._spent = set()  # partitions whose present epoch must not be used again
         self._open_tasks = {}
         self._write_tasks = {}
         self._leaving = False
@@ -80,10 +87,14 @@
 
     async def run(self):
         """Renews the membership until :meth:`leave` or cancellation."""
-        await self._leave_group()
         while not self._leaving:
+            if self._former_membership and not await self._leave_group():
+                await asyncio.sleep(JOIN_RETRY_DELAY_S)
+                continue
             if not self._eligible():
-                await self._resign()
+                await self._resign("not-eligible")
+            elif self._spent:
+                await self._resign("epoch-spent")
             elif await self._renew():
                 continue
             await self._wait_for_renewal()
@@ -111,13 +122,15 @@
         await self._flush_and_close(list(self._owner.partitions), "leaving")
         await self._leave_group()
 
-    async def _resign(self):
-        """Leaves the group, if this process is in it, until it is eligible again."""
+    async def _resign(self, reason):
+        """Closes all partitions and ends the membership, if this process has one."""
         if not self._generation:
             return
         self._generation = 0
         self._assigned = frozenset()
-        await self._flush_and_close(list(self._owner.partitions), "not-eligible")
+        self._former_membership = True
+        self._spent.clear()
+        await self._flush_and_close(list(self._owner.partitions), reason)
         await self._leave_group()
         callbacks, self._confirmations = self._confirmations, []
         for _, callback in callbacks:
@@ -126,12 +139,17 @@
     async def _leave_group(self):
         """Ends the membership of this process, or of a former one with its name.
 
-        Its partitions are reassigned without waiting for the TTL.
+        Its partitions are reassigned without waiting for the TTL. Returns whether the
+        log has confirmed the end.
         """
         try:
             await self._log.leave(GROUP, self._member)
         except LogUnavailable as error:
             self._event_log("log:unavailable", call="leave", fault=str(error))
+            self._event_log.count("banyanwheel.retries", "log-leave")
+            return False
+        self._former_membership = False
+        return True
 
     async def _renew(self):
         for trust in self._trusts():
@@ -171,7 +189,8 @@
         if revoked:
             await self._flush_and_close(revoked, "dealt-elsewhere")
         verified = self._now() > self._check_fences_until or await self._close_fenced()
-        for number in membership.partitions - set(self._owner.partitions):
+        unopened = membership.partitions - set(self._owner.partitions)
+        for number in unopened - self._spent:
             if number not in self._open_tasks:
                 task = asyncio.create_task(self._open(number, membership.generation))
                 self._open_tasks[number] = task
@@ -339,3 +358,5 @@
                     expected=result.expected,
                 )
                 self._close(partition.number, "out-of-sequence")
+                self._spent.add(partition.number)
+                self.renew_soon()
--- a/tests/daemon/test_ownership.py
+++ b/tests/daemon/test_ownership.py
@@ -1,6 +1,8 @@
 import asyncio
+import time
 
 from banyanwheel_daemon.ownership import Ownership
+from banyanwheel_jobs.owners.journal import Batch
 from banyanwheel_jobs.ports import (
     AppendOutcome,
     AppendResult,
@@ -8,6 +10,7 @@
     Membership,
 )
 from tests.jobs.world import EventRecorder, lone_owner
+from tests.standins.platform_log import PARTS, Group, Partition
 
 
 class SlowLog:
@@ -192,3 +195,161 @@
     owner, confirmed = renew(log, 2, between=lambda: setattr(log, "away", True))
     assert owner.partitions[0].epoch == 1
     assert confirmed == []
+
+
+class GroupLog:
+    """A log with one group and one topic; while ``down`` it refuses every call."""
+
+    def __init__(self):
+        self.group = Group()
+        self.partitions = [Partition() for _ in range(PARTS)]
+        self.down = False
+
+    def _require_up(self):
+        if self.down:
+            raise LogUnavailable("HTTP 503")
+
+    def keys(self):
+        return {key for each in self.partitions for key, _ in each.records}
+
+    async def join(self, group, member, topic, generation, *, lifetime_s):
+        self._require_up()
+        self.group.join(member, lifetime_s)
+        parts = frozenset(self.group.parts(member))
+        return Membership(self.group.generation, parts)
+
+    async def leave(self, group, member):
+        self._require_up()
+        self.group.leave(member)
+
+    async def append(self, topic, partition, records, *, epoch, sequence):
+        self._require_up()
+        status, answer = self.partitions[partition].append_fenced(
+            records, epoch, sequence
+        )
+        match answer.get("reason"):
+            case "fenced":
+                return AppendResult(AppendOutcome.FENCED)
+            case "seq":
+                return AppendResult(
+                    AppendOutcome.OUT_OF_SEQUENCE, expected=answer["expected"]
+                )
+        return AppendResult(AppendOutcome.STORED, answer["offset"])
+
+    async def newest(self, topic, partition):
+        self._require_up()
+        return [], len(self.partitions[partition].records)
+
+
+class OwnerProcess:
+    """The ownership of one process named ``member`` while it runs."""
+
+    def __init__(self, log):
+        self.owner = lone_owner(PARTS)
+        self.eligible = True
+        self.ownership = Ownership(
+            log,
+            self.owner,
+            "member",
+            (time.monotonic, lambda: 0),
+            EventRecorder(),
+            trusts=list,
+            on_change=lambda: None,
+            refresh=self._refresh,
+            eligible=lambda: self.eligible,
+        )
+
+    async def _refresh(self):
+        pass
+
+    async def __aenter__(self):
+        self._task = asyncio.create_task(self.ownership.run())
+        return self
+
+    async def __aexit__(self, *error):
+        """Ends as a killed process does: nothing more is sent."""
+        self._task.cancel()
+        for number in list(self.owner.partitions):
+            self.owner.close(number, "killed")
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def until_open(self, count=PARTS):
+        async with asyncio.timeout(5):
+            while len(self.owner.partitions) != count:
+                await asyncio.sleep(0.005)
+
+    async def store(self, key, number=0):
+        """Stores a record in a partition, and waits until it is taken for stored."""
+        stored = asyncio.Event()
+        partition = self.owner.partitions[number]
+        partition.journal.add([(key, b"value")], stored.set)
+        self.ownership.store(partition)
+        async with asyncio.timeout(5):
+            await stored.wait()
+
+
+def test_a_restart_while_the_log_is_down_does_not_reuse_an_epoch():
+    """What was taken for stored by a restarted dispatcher must be on the log.
+
+    It kept its former process's membership, and thereby the epoch; the log answered
+    its appends as repeats, and accepted jobs were unknown later (review/6).
+    """
+
+    async def run():
+        log = GroupLog()
+        async with OwnerProcess(log) as process:
+            await process.until_open()
+            await process.store("before")
+        log.down = True
+        async with OwnerProcess(log) as process:
+            await asyncio.sleep(0.25)
+            log.down = False
+            await process.until_open()
+            await process.store("after")
+        return log.keys()
+
+    assert asyncio.run(run()) == {"before", "after"}
+
+
+def test_a_return_to_the_group_while_the_log_is_down_does_not_reuse_an_epoch():
+    """The same cause in one process: it could not leave, and was a member again."""
+
+    async def run():
+        log = GroupLog()
+        async with OwnerProcess(log) as process:
+            await process.until_open()
+            await process.store("before")
+            log.down, process.eligible = True, False
+            process.ownership.renew_soon()
+            await process.until_open(0)
+            process.eligible = True
+            await asyncio.sleep(0.25)
+            log.down = False
+            await process.until_open()
+            await process.store("after")
+        return log.keys()
+
+    assert asyncio.run(run()) == {"before", "after"}
+
+
+def test_a_partition_closed_out_of_sequence_does_not_reuse_its_epoch():
+    """The same cause: the partition was opened again under the epoch that it had."""
+
+    async def run():
+        log = GroupLog()
+        async with OwnerProcess(log) as process:
+            await process.until_open()
+            for key in ("first", "second"):
+                await process.store(key)
+            partition = process.owner.partitions[0]
+            process.ownership._handle_append_result(
+                partition,
+                Batch(2, [], []),
+                AppendResult(AppendOutcome.OUT_OF_SEQUENCE, expected=7),
+            )
+            assert 0 not in process.owner.partitions
+            await process.until_open()
+            await process.store("third")
+        return log.keys()
+
+    assert asyncio.run(run()) == {"first", "second", "third"}
