Ask the worker before its runs are given up on the word of a DELETE

Cause: a worker's DELETE names no life. The runner compared the id alone and reported all runs of the present worker as lapsed. A DELETE that a cut had held up belongs to the life before; the runs went on and were started elsewhere.

The new scenario on the old packages: every task of both kinds of jobs gets a second run.

Change: a DELETE has the worker polled, over a connection verified to reach the present life. An answer shows that it lives on. If nothing listens at the address, its process and its runs have ended, and are reported at once as before. If it is silent, its lease lapses first. Both hold whichever life sent the message, so that nothing rests on telling them apart.

Relatives: late heartbeats are told apart by birth already. A worker that has left or been replaced was still reported as accepting; it is no longer.

Tests: workers.feature, "Late messages say that workers have left" (two examples, both failed before), tests/jobs/runners/test_runner.py, tests/platform/test_worker.py.

--- a/packages/daemon/banyanwheel_daemon/runner.py
+++ b/packages/daemon/banyanwheel_daemon/runner.py
@@ -12,6 +12,7 @@
 from banyanwheel_jobs.ports import (
     StartOutcome,
     WorkerFenced,
+    WorkerGone,
     WorkerReplaced,
     WorkerUnavailable,
 )
@@ -135,8 +136,13 @@
     def _handle_worker_left(self, worker_id):
         worker = self._runner.worker
         if worker is not None and worker.worker_id == worker_id:
-            self.event_log("worker:left", worker=worker_id)
-            self._runner.record_worker_left(boot_time())
+            self.event_log("worker:leave-announced", worker=worker_id)
+            self._runner.record_leave_announced()
+            self._poll_wakeup.set()
+
+    def _handle_worker_gone(self, client):
+        if client is self._client and self._runner.record_refused_poll(boot_time()):
+            self.event_log("worker:left", worker=self._runner.worker.worker_id)
             self._report_to_all()
 
     def _handle_worker_replaced(self, client, incarnation):
@@ -187,6 +193,8 @@
                 runner.record_unanswered_poll(sent_at)
                 self.event_log("worker:unavailable", call="hold", fault=str(error))
                 self.event_log.count("banyanwheel.retries", "worker-hold")
+            if isinstance(error, WorkerGone):
+                self._handle_worker_gone(client)
             return False
         if client is not self._client:
             return True
--- a/packages/jobs/banyanwheel_jobs/ports.py
+++ b/packages/jobs/banyanwheel_jobs/ports.py
@@ -24,6 +24,7 @@
     "WorkerHeartbeat",
     "WorkerEnd",
     "WorkerFenced",
+    "WorkerGone",
     "WorkerPort",
     "WorkerReplaced",
     "WorkerRun",
@@ -57,6 +58,10 @@
     """The worker did not return a valid answer; the call may still take effect."""
 
 
+class WorkerGone(WorkerUnavailable):
+    """Nothing listens at the worker's address; the call was not made."""
+
+
 class WorkerFenced(WorkerUnavailable):
     """The worker has seen a higher fence; the call was not carried out."""
 
--- a/packages/jobs/banyanwheel_jobs/runners/runner.py
+++ b/packages/jobs/banyanwheel_jobs/runners/runner.py
@@ -40,6 +40,7 @@
         self._authority = Authority()
         self._worker_heartbeat = None  # the newest, or None
         self._worker_gone = False
+        self._leave_announced = False  # by this incarnation or an earlier one
         self._successor = ""  # the incarnation that has answered in the worker's place
         self._runs = {}  # TrackedRun by (task, run)
         self._ends = {}  # UnacknowledgedEnd by (task, run)
@@ -78,6 +79,7 @@
         """Whether the worker's lists have to be polled now."""
         return not self._worker_gone and (
             not self.reconciled
+            or self._leave_announced
             or self._unanswered_since is not None
             or self._cursor.has_unacknowledged
             or self._acknowledged_at_worker < self.acknowledged
@@ -119,7 +121,7 @@
             if heartbeat.sequence > known.sequence:
                 self._worker_heartbeat = heartbeat
                 self._last_seen_at = now
-                self._worker_gone = False
+                self._worker_gone = self._leave_announced = False
                 if heartbeat.draining:
                     self._refuse_waiting("draining")
             return False
@@ -147,7 +149,7 @@
         for entry in self._ends.values():
             entry.number = None
         self._worker_heartbeat = heartbeat
-        self._worker_gone = False
+        self._worker_gone = self._leave_announced = False
         self._cursor = AckCursor()
         self._acknowledged_at_worker = 0
         self._pending_lapse = None
@@ -160,6 +162,25 @@
         self.raise_fence()
         self.reconciled = False
 
+    def record_leave_announced(self):
+        """Has the worker polled, since a message says that it has left.
+
+        The message names no incarnation. An earlier one may have sent it, so that it
+        ends no runs: an answer shows that the worker lives on.
+        """
+        self._leave_announced = True
+
+    def record_refused_poll(self, now):
+        """Records that nothing listens at the worker's address.
+
+        After the announcement of its leave, its process and all runs have ended.
+        Returns whether that is so.
+        """
+        if not self._leave_announced:
+            return False
+        self.record_worker_left(now)
+        return True
+
     def record_worker_left(self, now):
         """Ends all runs as lapsed, since the worker has left."""
         self._lose_worker("worker-left", now)
@@ -175,6 +196,7 @@
 
     def _lose_worker(self, reason, now):
         self._worker_gone = True
+        self._leave_announced = False
         self.reconciled = True
         self._reset_unanswered_polls()
         for run in list(self._runs.values()):
@@ -288,6 +310,7 @@
     def _accepting(self):
         return not (
             self.stopping
+            or self._worker_gone
             or self._pending_lapse is not None
             or self._worker_heartbeat.draining
             or not self.reconciled
--- a/tests/features/workers.feature
+++ b/tests/features/workers.feature
@@ -91,3 +91,18 @@
     Then worker-1 starts tasks of that job
     And the job is completed at dispatcher-1
     And every promise is kept
+
+  # Guards against runs that are given up on the word of a former life of their worker.
+  @at-most-once
+  Scenario Outline: Late messages say that workers have left, while they run tasks
+    When a <kind> job of 12 tasks of 1000 ms is submitted to dispatcher-1
+    And 12 tasks have started
+    And late messages say that the workers have left
+    Then the job is completed at its dispatcher
+    And each task has started once
+    And every promise is kept
+
+    Examples:
+      | kind      |
+      | transient |
+      | stored    |
--- a/tests/jobs/runners/test_runner.py
+++ b/tests/jobs/runners/test_runner.py
@@ -100,6 +100,41 @@
     assert runner.start_deadline_ms(run, world.now) is None
 
 
+def test_a_message_that_the_worker_has_left_ends_no_runs(world):
+    """It names no incarnation and may be late: the runs of the next one went on.
+
+    They were started again elsewhere beside themselves (review/7).
+    """
+    runner = send_assignment(world)
+    (run,) = runner.begin_due_starts(world.now)
+    runner.record_start_outcome(run, StartOutcome.STARTED, world.now)
+    runner.record_leave_announced()
+    assert runner.report(ORIGIN, world.now).ends == ()
+    assert runner.needs_polling
+
+
+def test_a_worker_that_announced_its_leave_and_is_not_there_has_left(world):
+    runner = send_assignment(world)
+    (run,) = runner.begin_due_starts(world.now)
+    runner.record_start_outcome(run, StartOutcome.STARTED, world.now)
+    assert not runner.record_refused_poll(world.now)
+    assert runner.report(ORIGIN, world.now).ends == ()
+    runner.record_leave_announced()
+    assert runner.record_refused_poll(world.now)
+    (end,) = runner.report(ORIGIN, world.now).ends
+    assert (end.kind, end.reason) == (EndKind.LAPSED, "worker-left")
+    assert not runner.needs_polling
+    assert runner.availability == (True, False)
+
+
+def test_a_heartbeat_after_the_message_shows_that_the_worker_lives(world):
+    runner = send_assignment(world)
+    runner.record_leave_announced()
+    runner.announce(world.workers["runner-0"].announcement(), world.now)
+    assert not runner.record_refused_poll(world.now)
+    assert runner.report(ORIGIN, world.now).ends == ()
+
+
 def test_a_start_to_an_unresponsive_worker_returns_to_waiting(world):
     runner = send_assignment(world)
     (run,) = runner.begin_due_starts(world.now)
--- a/tests/platform/test_worker.py
+++ b/tests/platform/test_worker.py
@@ -10,7 +10,12 @@
 
 from banyanwheel_jobs.messages import Assignment
 from banyanwheel_jobs.model import Resources, TaskId
-from banyanwheel_jobs.ports import StartOutcome, WorkerReplaced
+from banyanwheel_jobs.ports import (
+    StartOutcome,
+    WorkerGone,
+    WorkerReplaced,
+    WorkerUnavailable,
+)
 from banyanwheel_platform.http import answer
 from banyanwheel_platform.worker import WorkerClient, incarnation_of
 
@@ -37,6 +42,10 @@
         self._server.stop()
         await self._server.close_all_connections()
 
+    def end(self):
+        """Gives the address up."""
+        self._holder.close()
+
     def _handle(self, request):
         body = json.loads(request.body)
         calls = self.calls[self._born]
@@ -104,3 +113,22 @@
         return worker.calls[FIRST]
 
     assert play(scenario) == {"/hold": 1, "/run-start": 3, "acknowledged": 0}
+
+
+def test_only_a_worker_without_a_listener_is_gone():
+    """Its process has ended then; one that is silent or cut off may still run tasks."""
+
+    async def run():
+        worker = Worker()
+        worker.start(FIRST)
+        client = WorkerClient(worker.address, WORKER, FIRST)
+        await acknowledge(client)
+        await worker.crash()
+        with pytest.raises(WorkerUnavailable) as silent:
+            await acknowledge(client)
+        worker.end()
+        with pytest.raises(WorkerGone):
+            await acknowledge(client)
+        return silent.type
+
+    assert asyncio.run(run()) is WorkerUnavailable
--- a/tests/promises/conftest.py
+++ b/tests/promises/conftest.py
@@ -239,6 +239,12 @@
     world.cluster.leave(world.worker)
 
 
+@when("late messages say that the workers have left")
+def deliver_late_leaves(world):
+    for name in world.cluster.layout.runner_names:
+        world.cluster.deliver_leave(name.replace("runner", "worker"))
+
+
 @when("a worker has started tasks")
 def wait_for_any_worker(world):
     # Which one gets the first tasks is the dispatchers' choice.
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -212,6 +212,11 @@
         """Freezes the present connections of a proxy for good."""
         call("POST", self._control(name), "/freeze")
 
+    def deliver_leave(self, name):
+        """Delivers the message that a worker has left to its runner, as a late one."""
+        address = self._addresses[name.replace("worker", "runner")]["heartbeats"]
+        call("DELETE", address, f"/instances/i-{name}")
+
     def leave(self, name):
         """Has a worker say that it is leaving."""
         call("PUT", self._control(name), "/leave")
