Let a task wait for a better worker for 2.5 s at most

Cause: a retry avoided the workers where its task had failed for good, and the choice was made among the others, whether they had room or not. Suspected workers were left out of a round in the same way, and each further failure there prolonged that.

Change: once a worker that may run a task has had room for 2.5 s, the task goes to any such worker. That is less than the 3 s for which a job may have nothing running, and more than a short job lives, so that nothing changes for those.

Relatives: suspicion (mended with it; the reserve now counts the room of suspected workers too, since they may get tasks); waiting for a faster worker ended after 1 s already.

--- a/packages/jobs/banyanwheel_jobs/owners/dispatching.py
+++ b/packages/jobs/banyanwheel_jobs/owners/dispatching.py
@@ -17,6 +17,9 @@
 ASSIGNMENT_VALID_S = 0.35
 MIN_UNSUSPECTED_SHARE = 0.5  # of the usable runners; below it suspicion is ignored
 MAX_UNPLACED_JOBS_PER_ROUND = 32  # a round ends after this many
+# How long a task waits for a better runner while another that may run it has room. Of
+# the 3 s that a job may have nothing running, it leaves time for reports and starts.
+MAX_DEFERRAL_S = 2.5
 
 
 @dataclass(slots=True)
@@ -35,10 +38,11 @@
         """Places startable tasks, those of the most urgent job first."""
         if not self._waiting:
             return
-        views = self._usable_views(now)
-        if not views:
+        usable = self._usable_views(now)
+        if not usable:
             return
-        headroom = Headroom(views)
+        views = _preferred(usable, now)
+        headroom = Headroom(usable)
         least_cpu = min(job.min_task_cpu for job in self._waiting)
         unplaced_jobs = 0
         for job in sorted(self._waiting, key=lambda job: rank(job, now)):
@@ -49,30 +53,38 @@
                 return
             if headroom.largest < job.min_task_cpu or not headroom.admits(job, now):
                 continue
-            if not self._place_job(job, views, headroom, now):
+            if not self._place_job(job, views, usable, headroom, now):
                 unplaced_jobs += 1
 
     def _usable_views(self, now):
-        """Returns the usable runners, only unsuspected ones if these are enough."""
-        usable = [
+        return [
             view
             for view in self._views.values()
             if view.usable(now) and not self.drains.cover(view)
         ]
-        unsuspected = [view for view in usable if not view.suspected(now)]
-        # If most runners are suspected, the fault lies with the jobs.
-        return (
-            unsuspected
-            if len(unsuspected) >= MIN_UNSUSPECTED_SHARE * len(usable)
-            else usable
-        )
 
-    def _place_job(self, job, views, headroom, now):
+    def _choose(self, job, task, preferred, usable, used, now):
+        """Returns the view of the runner for a task, or None to wait.
+
+        A task waits for a better runner only for ``MAX_DEFERRAL_S``, then any one that
+        may run it will do.
+        """
+        view = self._placement.choose(job, task, preferred, used, now)
+        if view is not None:
+            return view
+        fallback = self._placement.choose(job, task, usable, used, now, any_runner=True)
+        if fallback is None:
+            return None
+        if task.deferred_since is None:
+            task.deferred_since = now
+        return fallback if now - task.deferred_since > MAX_DEFERRAL_S else None
+
+    def _place_job(self, job, views, usable, headroom, now):
         """Places tasks of a job; returns False if one of them found no room."""
         assignments_by_view = {}
         complete = True
         for task in list(job.startable(now)):
-            view = self._placement.choose(job, task, views, assignments_by_view, now)
+            view = self._choose(job, task, views, usable, assignments_by_view, now)
             if view is None or not headroom.admits(job, now):
                 complete = False
                 break
@@ -133,3 +145,11 @@
             assignments,
             confirmed,
         )
+
+
+def _preferred(usable, now):
+    """Returns the unsuspected ones of some views, or all if most are suspected."""
+    unsuspected = [view for view in usable if not view.suspected(now)]
+    # If most runners are suspected, the fault lies with the jobs.
+    enough = len(unsuspected) >= MIN_UNSUSPECTED_SHARE * len(usable)
+    return unsuspected if enough else usable
--- a/packages/jobs/banyanwheel_jobs/owners/job.py
+++ b/packages/jobs/banyanwheel_jobs/owners/job.py
@@ -33,7 +33,8 @@
     ``run`` is the number of its newest run. ``failed_runs`` holds the numbers of the
     runs that failed. Until ``unknown_run_until``, in seconds of the owner's clock, a
     run that the owner does not know of may still exist. ``avoided_runners`` are the
-    runners at which a run has failed or was stopped as a straggler.
+    runners at which a run has failed or was stopped as a straggler. Since
+    ``deferred_since`` the task waits for a better runner than those with room.
     """
 
     id: TaskId
@@ -49,6 +50,7 @@
     checkpoint: str = ""
     unknown_run_until: float = 0.0
     avoided_runners: set = field(default_factory=set)
+    deferred_since: float | None = None
 
     def apply_event(self, event):
         """Applies an event; raises ChartError if the state doesn't allow it."""
@@ -202,6 +204,7 @@
         task.percent = task.last_progress_age_ms = 0
         task.runner = runner
         task.stopping = False
+        task.deferred_since = None
         self.apply_event("start")
 
     def adopt(self, task, run, runner):
--- a/packages/jobs/banyanwheel_jobs/placing/placement.py
+++ b/packages/jobs/banyanwheel_jobs/placing/placement.py
@@ -82,11 +82,12 @@
         self._data_centre = data_centre
         self._remote_rack_factor = remote_rack_factor
 
-    def choose(self, job, task, views, used, now):
+    def choose(self, job, task, views, used, now, *, any_runner=False):
         """Returns the best of ``views`` with enough room, or None to wait.
 
         ``used`` are the views of the runners that get other tasks of the job in this
-        round.
+        round. With ``any_runner`` the task neither avoids a runner nor waits for a
+        faster one.
         """
         step = job.step_of(task)
         service = job.submission.queue.service
@@ -95,15 +96,17 @@
         ]
         # A worker whose runs fail or stall always has room, so a retry avoids it.
         others = [view for view in allowed if view.name not in task.avoided_runners]
+        if any_runner or not others:
+            others = allowed
         best, least, fastest = None, float("inf"), float("inf")
-        for view in others or allowed:
+        for view in others:
             cost = self._cost(step, view, used)
             fastest = min(fastest, cost)
             if cost < least and view.room_for(step.resources):
                 best, least = view, cost
-        if best is not None and _worth_waiting(job, step, least, fastest, now):
-            return None
-        return best
+        if best is None or any_runner:
+            return best
+        return None if _worth_waiting(job, step, least, fastest, now) else best
 
     def allowed(self, job, task, step, view, service):
         """Tells whether a worker may run a task, regardless of its free room."""
