Pass over jobs that can't be placed, however many there are

Cause: a round of placing ended after 32 jobs that found no worker, as the cost of a round grew with them.

Change: no limit. Needs that found no room are remembered for the rest of the round, as room only shrinks within one. A job that no usable worker may run is parked under its needs and tried again when the kinds of workers change. Suspicion is now judged per service and label, not over all services.

Jobs that were parked don't count in the time to come back any more.

--- a/packages/jobs/banyanwheel_jobs/owners/dispatching.py
+++ b/packages/jobs/banyanwheel_jobs/owners/dispatching.py
@@ -7,6 +7,7 @@
 from ..messages import NOT_FORWARDED, Assignment, StartTasks
 from ..placing.headroom import Headroom
 from ..placing.placement import rank
+from ..placing.room import Room
 from .job import TaskState
 
 __all__ = ["Dispatching"]
@@ -15,8 +16,6 @@
 # and places them elsewhere: REPORT_TIMEOUT_S + ASSIGNMENT_VALID_S is less than
 # TRANSIENT_AUTHORITY_S.
 ASSIGNMENT_VALID_S = 0.35
-MIN_UNSUSPECTED_SHARE = 0.5  # of the usable runners; below it suspicion is ignored
-MAX_UNPLACED_JOBS_PER_ROUND = 32  # a round ends after this many
 # How long a task waits for a better runner while another that may run it has room. Of
 # the 3 s that a job may have nothing running, it leaves time for reports and starts.
 MAX_DEFERRAL_S = 2.5
@@ -41,20 +40,18 @@
         usable = self._usable_views(now)
         if not usable:
             return
-        views = _preferred(usable, now)
+        room = Room(usable, now)
+        self._waiting.unpark_possible(room)
+        jobs = self._waiting.active
         headroom = Headroom(usable)
-        least_cpu = min(job.min_task_cpu for job in self._waiting)
-        unplaced_jobs = 0
-        for job in sorted(self._waiting, key=lambda job: rank(job, now)):
-            if (
-                headroom.largest < least_cpu
-                or unplaced_jobs >= MAX_UNPLACED_JOBS_PER_ROUND
-            ):
+        least_cpu = min((job.min_task_cpu for job in jobs), default=0)
+        if headroom.largest < least_cpu:
+            return
+        for job in sorted(jobs, key=lambda job: rank(job, now)):
+            if headroom.largest < least_cpu:
                 return
-            if headroom.largest < job.min_task_cpu or not headroom.admits(job, now):
-                continue
-            if not self._place_job(job, views, usable, headroom, now):
-                unplaced_jobs += 1
+            if headroom.largest >= job.min_task_cpu and headroom.admits(job, now):
+                self._place_job(job, room, headroom, now)
 
     def _usable_views(self, now):
         return [
@@ -63,48 +60,80 @@
             if view.usable(now) and not self.drains.cover(view)
         ]
 
-    def _choose(self, job, task, preferred, usable, used, now):
-        """Returns the view of the runner for a task, or None to wait.
-
-        A task waits for a better runner only for ``MAX_DEFERRAL_S``, then any one that
-        may run it will do.
-        """
-        view = self._placement.choose(job, task, preferred, used, now)
-        if view is not None:
-            return view
-        fallback = self._placement.choose(job, task, usable, used, now, any_runner=True)
-        if fallback is None:
-            return None
-        if task.deferred_since is None:
-            task.deferred_since = now
-        return fallback if now - task.deferred_since > MAX_DEFERRAL_S else None
-
-    def _place_job(self, job, views, usable, headroom, now):
-        """Places tasks of a job; returns False if one of them found no room."""
+    def _place_job(self, job, room, headroom, now):
+        """Places the tasks that find a runner; parks a job that no worker may run."""
+        service = job.submission.queue.service
         assignments_by_view = {}
         complete = True
-        for task in list(job.startable(now)):
-            view = self._choose(job, task, views, usable, assignments_by_view, now)
-            if view is None or not headroom.admits(job, now):
-                complete = False
-                break
-            partition = self._partition(job.partition)
-            job.place(task, view.name, partition.epoch)
-            step = job.step_of(task)
-            assignment = Assignment(
-                task.id, task.run, step.resources, step.estimate_ms, task.checkpoint
-            )
-            view.add_assignment(
-                (task.id, task.run), _UnreportedAssignment(step.resources, None, now)
-            )
-            headroom.subtract(step.resources)
-            assignments_by_view.setdefault(view, []).append(assignment)
+        possible, impossible = False, set()
+        for step, tasks in job.startable_steps(now):
+            pool = room.pool(service, step.label)
+            if pool.usable.has_room(step.resources):
+                possible = True
+                if not self._place_step(
+                    job, tasks, pool, headroom, assignments_by_view, now
+                ):
+                    complete = False
+                continue
+            complete = False
+            if pool.may_run(step.resources):
+                possible = True
+            else:
+                impossible.add((service, step.label, step.resources))
         for view, assignments in assignments_by_view.items():
             self._send_assignments(job, view, assignments, now)
-        if complete and not self._has_waiting(job):
+        if impossible and not possible and not job.placed():
+            self._waiting.park(job, frozenset(impossible), room.supply)
+        elif complete and not self._has_waiting(job):
             self._waiting.discard(job)
+
+    def _place_step(self, job, tasks, pool, headroom, assignments_by_view, now):
+        """Places tasks of one step; returns whether all of them were placed."""
+        complete = True
+        blocked = False  # for tasks that avoid no runner, and so for all such tasks
+        for task in tasks:
+            if not headroom.admits(job, now):
+                return False
+            view = None
+            if task.avoided_runners or not blocked:
+                view = self._choose(job, task, pool, assignments_by_view, now)
+            if view is None:
+                complete = False
+                blocked = blocked or not task.avoided_runners
+                if not _deferral_over(task, now):
+                    continue
+                view = self._placement.choose(
+                    job,
+                    task,
+                    pool.usable.views,
+                    assignments_by_view,
+                    now,
+                    any_runner=True,
+                )
+                if view is None:
+                    return False
+            assignment = self._assign(job, task, view, now)
+            headroom.subtract(assignment.resources)
+            assignments_by_view.setdefault(view, []).append(assignment)
         return complete
 
+    def _choose(self, job, task, pool, used, now):
+        if not pool.preferred.has_room(job.step_of(task).resources):
+            return None
+        return self._placement.choose(job, task, pool.preferred.views, used, now)
+
+    def _assign(self, job, task, view, now):
+        """Places a task at a runner; returns the Assignment, which is not sent yet."""
+        partition = self._partition(job.partition)
+        job.place(task, view.name, partition.epoch)
+        step = job.step_of(task)
+        view.add_assignment(
+            (task.id, task.run), _UnreportedAssignment(step.resources, None, now)
+        )
+        return Assignment(
+            task.id, task.run, step.resources, step.estimate_ms, task.checkpoint
+        )
+
     def _has_waiting(self, job):
         return job.live and any(
             task.state is TaskState.WAITING for tasks in job.tasks for task in tasks
@@ -147,9 +176,8 @@
         )
 
 
-def _preferred(usable, now):
-    """Returns the unsuspected ones of some views, or all if most are suspected."""
-    unsuspected = [view for view in usable if not view.suspected(now)]
-    # If most runners are suspected, the fault lies with the jobs.
-    enough = len(unsuspected) >= MIN_UNSUSPECTED_SHARE * len(usable)
-    return unsuspected if enough else usable
+def _deferral_over(task, now):
+    """Returns whether a task that could be placed has waited for a better runner."""
+    if task.deferred_since is None:
+        task.deferred_since = now
+    return now - task.deferred_since > MAX_DEFERRAL_S
--- a/packages/jobs/banyanwheel_jobs/owners/job.py
+++ b/packages/jobs/banyanwheel_jobs/owners/job.py
@@ -174,18 +174,25 @@
         tasks = self.tasks[task_id.step]
         return tasks[task_id.index] if 0 <= task_id.index < len(tasks) else None
 
-    def startable(self, now):
-        """Yields the tasks that may be placed now."""
+    def startable_steps(self, now):
+        """Yields the steps whose turn it is, each with its tasks to be placed now."""
         if not self.live:
             return
         for number, step in enumerate(self.submission.steps):
             if not self._open_steps[number]:
                 continue
-            if any(self._open_steps[before] for before in step.after):
-                continue
-            for task in self.tasks[number]:
-                if task.state is TaskState.WAITING and task.unknown_run_until <= now:
-                    yield task
+            if not any(self._open_steps[before] for before in step.after):
+                yield step, self._startable_of(number, now)
+
+    def _startable_of(self, number, now):
+        for task in self.tasks[number]:
+            if task.state is TaskState.WAITING and task.unknown_run_until <= now:
+                yield task
+
+    def startable(self, now):
+        """Yields the tasks that may be placed now."""
+        for _, tasks in self.startable_steps(now):
+            yield from tasks
 
     def placed(self):
         """Returns the tasks that are placed at a runner."""
--- a/packages/jobs/banyanwheel_jobs/owners/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owners/owner.py
@@ -22,6 +22,7 @@
 from .report_handling import ReportHandling
 from .supervision import Supervision
 from .transient import TransientJobs
+from .waiting import WaitingJobs
 
 __all__ = ["Owner"]
 
@@ -55,7 +56,7 @@
         self._partitions = {}
         self._transient = Partition.transient(0.0)
         self._views = {}
-        self._waiting = set()  # jobs that may have tasks to place
+        self._waiting = WaitingJobs()
         self._reachable_at = None  # when a runner was last usable, or startup ends
         self._canceled = OrderedDict()  # ids of transient jobs that callers canceled
         self._refused = OrderedDict()  # reasons by id of transient jobs
@@ -332,7 +333,9 @@
         if any(each.recovering for each in self._partitions.values()):
             return True
         waiting = [
-            job for job in self._waiting if now - job.received_at > UNPLACEABLE_AFTER_S
+            job
+            for job in self._waiting.samples
+            if now - job.received_at > UNPLACEABLE_AFTER_S
         ]
         if not waiting:
             return False
--- a/packages/jobs/banyanwheel_jobs/owners/report_handling.py
+++ b/packages/jobs/banyanwheel_jobs/owners/report_handling.py
@@ -160,6 +160,8 @@
                 job.finish(task, end.run)
                 if job.complete and job.live:
                     self._end_job(partition, job, "complete")
+                else:
+                    self._waiting.try_again(job)
             case EndKind.FAILED:
                 self._fail_run(partition, job, task, view, end)
             case _:
--- a/packages/jobs/banyanwheel_jobs/owners/transient.py
+++ b/packages/jobs/banyanwheel_jobs/owners/transient.py
@@ -179,14 +179,14 @@
                 self._event_log.count("banyanwheel.refusals", "begun-too-late")
                 self.abort_transient(job.id, "begun-too-late")
         if too_late:
-            backlog_s = backlog_time_s(self._waiting, self._views.values(), now)
+            backlog_s = backlog_time_s(self._waiting.active, self._views.values(), now)
             for job in too_late:
                 retry_ms = overload_retry_ms(job.id, backlog_s)
                 self._refuse_transient(job, "too-late", now, retry_ms)
 
     def _has_contention(self, now):
         """Returns whether jobs that can still be on time wait for room."""
-        return any(rank(job, now).tier == ON_TIME_TIER for job in self._waiting)
+        return any(rank(job, now).tier == ON_TIME_TIER for job in self._waiting.active)
 
     def _refuse_transient(self, job, reason, now, retry_ms=RETRY_AFTER_MS):
         """Refuses a job none of whose tasks has started."""
--- /dev/null
+++ b/packages/jobs/banyanwheel_jobs/placing/room.py
@@ -0,0 +1,77 @@
+"""The runners that may get tasks in one placement round, and their room."""
+
+__all__ = ["Candidates", "Pool", "Room"]
+
+MIN_UNSUSPECTED_SHARE = 0.5  # of a pool; below it suspicion is ignored
+
+
+class Candidates:
+    """Views of runners, and the needs that found no room at them in this round.
+
+    Free room only shrinks within a round, so that a lack of it lasts until its end.
+    """
+
+    def __init__(self, views):
+        self.views = views
+        self._lacks = []
+
+    def has_room(self, resources):
+        """Returns whether a runner has room for a task."""
+        if any(lack.fits(resources) for lack in self._lacks):
+            return False
+        if any(view.room_for(resources) for view in self.views):
+            return True
+        self._lacks = [lack for lack in self._lacks if not resources.fits(lack)]
+        self._lacks.append(resources)
+        return False
+
+
+class Pool:
+    """The runners of one service, or those of them whose workers have one label.
+
+    ``preferred`` leaves out the suspected ones. If most are suspected, the fault lies
+    with the jobs, and it is the same as ``usable``.
+    """
+
+    def __init__(self, views, now):
+        self.usable = self.preferred = Candidates(views)
+        unsuspected = [view for view in views if not view.suspected(now)]
+        if MIN_UNSUSPECTED_SHARE * len(views) <= len(unsuspected) < len(views):
+            self.preferred = Candidates(unsuspected)
+        self._large_enough = {}
+
+    def may_run(self, resources):
+        """Returns whether a worker is large enough for a task, with room or not."""
+        if resources not in self._large_enough:
+            self._large_enough[resources] = any(
+                resources.fits(view.worker.capacity) for view in self.usable.views
+            )
+        return self._large_enough[resources]
+
+
+class Room:
+    """The pools of the usable runners in one round."""
+
+    def __init__(self, views, now):
+        self._views = views
+        self._now = now
+        self._pools = {}
+        self._index = {}
+        for view in views:
+            for label in ("", *view.worker.labels):
+                self._index.setdefault((view.worker.service, label), []).append(view)
+
+    @property
+    def supply(self):
+        """The kinds of workers, as a frozen set of (service, labels, capacity)."""
+        workers = [view.worker for view in self._views]
+        return frozenset(
+            (worker.service, worker.labels, worker.capacity) for worker in workers
+        )
+
+    def pool(self, service, label):
+        """Returns the Pool for tasks that require ``label``, or none if it is empty."""
+        key = (service, label)
+        if key not in self._pools:
+            self._pools[key] = Pool(self._index.get(key, ()), self._now)
+        return self._pools[key]
--- a/tests/jobs/owners/fleet.py
+++ b/tests/jobs/owners/fleet.py
@@ -127,12 +127,19 @@
         while partition.journal.next_batch():
             partition.journal.mark_stored()
 
-    def submit(self, number, *, service="desk", target_ms=60_000, attempts=4, **step):
+    def submit(self, number, **fields):
         """Submits a job of one step; returns its id."""
-        fields = {"count": 1, "resources": Resources(1_000), "estimate_ms": 1_000}
+        step = {"count": 1, "resources": Resources(1_000), "estimate_ms": 1_000}
+        of_job = {"service", "target_ms", "attempts"} & fields.keys()
+        job_fields = {name: fields.pop(name) for name in of_job}
+        return self.submit_steps(number, (Step(**step | fields),), **job_fields)
+
+    def submit_steps(
+        self, number, steps, *, service="desk", target_ms=60_000, attempts=4
+    ):
+        """Submits a job; returns its id."""
         queue = Queue(f"q-{service}", service, 0, attempts, 1.6, target_ms)
         job_id = f"{number:016x}"
-        steps = (Step(**fields | step),)
         submission = Submission(job_id, queue, "", steps, round(self.now * 1000))
         self.owner.submit(submission, lambda reply: None, self.now)
         return job_id
@@ -161,8 +168,11 @@
                 view = self.owner.views[name]
                 self.owner.handle_report(view, "r", worker.report(self.now), self.now)
 
+    def tasks(self, job_id):
+        """Returns the tasks of a job, none once it has ended."""
+        job = self.jobs.get(job_id)
+        return [task for step in job.tasks for task in step] if job else []
+
     def waiting(self, job_id):
         """Returns the tasks of a job that wait."""
-        job = self.jobs.get(job_id)
-        tasks = [task for step in job.tasks for task in step] if job else []
-        return [task for task in tasks if task.state is TaskState.WAITING]
+        return [task for task in self.tasks(job_id) if task.state is TaskState.WAITING]
--- a/tests/jobs/owners/test_dispatching.py
+++ b/tests/jobs/owners/test_dispatching.py
@@ -1,5 +1,9 @@
 """No task waits for long while a worker that may run it has room."""
 
+import pytest
+
+from banyanwheel_jobs.model import Resources, Step
+
 from .fleet import Fleet, FleetWorker
 
 LONGEST_IDLE_S = 3.0  # that a job may have nothing running while a worker has room
@@ -44,3 +48,68 @@
         fleet.step()
     fleet.run(0.5)
     assert fleet.state(job_id) == "completed"
+
+
+@pytest.mark.parametrize("count", [1, 32, 33, 1_000, 50_000])
+def test_jobs_that_no_worker_may_run_do_not_keep_others_waiting(count):
+    """From 32 such jobs on, none that came later was placed (review/5)."""
+    fleet = Fleet(FleetWorker("one", 4_000))
+    needs = [{"label": "none"}, {"resources": Resources(5_000)}]
+    for number in range(count):
+        fleet.submit(number, target_ms=1, estimate_ms=1, **needs[number % 2])
+    fleet.run(1.0)
+    job_id = fleet.submit(count, target_ms=1, estimate_ms=1)
+    fleet.run(0.2)
+    assert fleet.state(job_id) == "completed"
+    assert len(fleet.jobs) == count
+
+
+def test_jobs_of_many_needs_without_room_do_not_keep_others_waiting():
+    fleet = Fleet(FleetWorker("full", 4_000, labels=("a",)), FleetWorker("free", 1_000))
+    fleet.submit(0, count=4, label="a", estimate_ms=60_000)
+    fleet.run(0.1)
+    for number in range(1, 200):
+        fleet.submit(number, target_ms=1, label="a", resources=Resources(500 + number))
+    fleet.run(1.0)
+    job_id = fleet.submit(200, target_ms=1, estimate_ms=1)
+    fleet.run(0.2)
+    assert fleet.state(job_id) == "completed"
+
+
+def test_a_job_is_run_once_a_worker_comes_that_may_run_it():
+    fleet = Fleet(FleetWorker("one", 4_000))
+    labelled = fleet.submit(1, label="late", estimate_ms=1)
+    large = fleet.submit(2, resources=Resources(8_000), estimate_ms=1)
+    elsewhere = fleet.submit(3, service="other", estimate_ms=1)
+    fleet.run(1.0)
+    fleet.add(FleetWorker("two", 4_000, labels=("late",)))
+    fleet.run(0.3)
+    assert fleet.state(labelled) == "completed"
+    fleet.add(FleetWorker("three", 8_000))
+    fleet.run(0.3)
+    assert fleet.state(large) == "completed"
+    assert fleet.state(elsewhere) == "queued"
+
+
+def test_a_parked_job_can_be_canceled():
+    fleet = Fleet(FleetWorker("one", 4_000))
+    job_id = fleet.submit(1, label="none")
+    fleet.run(0.2)
+    fleet.owner.cancel(job_id, lambda reply: None, fleet.now)
+    fleet.add(FleetWorker("two", 4_000, labels=("none",)))
+    fleet.run(0.2)
+    assert fleet.state(job_id) == "canceled"
+    assert not fleet.owner.has_waiting_jobs
+
+
+def test_a_step_is_placed_though_another_one_of_its_job_has_no_worker():
+    """Also one whose turn comes while the other one still has none."""
+    fleet = Fleet(FleetWorker("one", 4_000))
+    steps = (
+        Step(1, Resources(1_000), 100, label="none"),
+        Step(1, Resources(1_000), 100),
+        Step(1, Resources(1_000), 100, after=(1,)),
+    )
+    job = fleet.submit_steps(1, steps)
+    fleet.run(0.5)
+    assert [task.state for task in fleet.tasks(job)] == ["waiting", "done", "done"]
