Reckon the reserve for urgent jobs per service and label

Cause: 5% of all capacity are kept for urgent jobs, and both the free room and the reserve were sums over all services. The idle workers of a small service were less than 5% of everything.

Change: each pool of a round, the runners of one service or those of them with the required label, has its own reserve. Jobs wait for it only while more than 95% of that pool's CPU is taken.

Relative: idle workers of one label beside full ones of another within one service; its test failed before as well.

Tests: three in tests/jobs/owners/test_dispatching.py; two failed before, the third keeps the reserve itself.

--- a/packages/jobs/banyanwheel_jobs/owners/dispatching.py
+++ b/packages/jobs/banyanwheel_jobs/owners/dispatching.py
@@ -5,7 +5,6 @@
 import msgspec
 
 from ..messages import NOT_FORWARDED, Assignment, StartTasks
-from ..placing.headroom import Headroom
 from ..placing.placement import rank
 from ..placing.room import Room
 from .job import TaskState
@@ -43,15 +42,15 @@
         room = Room(usable, now)
         self._waiting.unpark_possible(room)
         jobs = self._waiting.active
-        headroom = Headroom(usable)
         least_cpu = min((job.min_task_cpu for job in jobs), default=0)
-        if headroom.largest < least_cpu:
+        largest_cpu = room.largest_cpu
+        if largest_cpu < least_cpu:
             return
         for job in sorted(jobs, key=lambda job: rank(job, now)):
-            if headroom.largest < least_cpu:
-                return
-            if headroom.largest >= job.min_task_cpu and headroom.admits(job, now):
-                self._place_job(job, room, headroom, now)
+            if largest_cpu >= job.min_task_cpu and self._place_job(job, room, now):
+                largest_cpu = room.largest_cpu
+                if largest_cpu < least_cpu:
+                    return
 
     def _usable_views(self, now):
         return [
@@ -60,8 +59,11 @@
             if view.usable(now) and not self.drains.cover(view)
         ]
 
-    def _place_job(self, job, room, headroom, now):
-        """Places the tasks that find a runner; parks a job that no worker may run."""
+    def _place_job(self, job, room, now):
+        """Places the tasks of a job that find a runner; returns whether any did.
+
+        Parks a job that no worker may run.
+        """
         service = job.submission.queue.service
         assignments_by_view = {}
         complete = True
@@ -70,9 +72,7 @@
             pool = room.pool(service, step.label)
             if pool.usable.has_room(step.resources):
                 possible = True
-                if not self._place_step(
-                    job, tasks, pool, headroom, assignments_by_view, now
-                ):
+                if not self._place_step(job, tasks, pool, assignments_by_view, now):
                     complete = False
                 continue
             complete = False
@@ -82,17 +82,20 @@
                 impossible.add((service, step.label, step.resources))
         for view, assignments in assignments_by_view.items():
             self._send_assignments(job, view, assignments, now)
+        if assignments_by_view:
+            room.recount()
         if impossible and not possible and not job.placed():
             self._waiting.park(job, frozenset(impossible), room.supply)
         elif complete and not self._has_waiting(job):
             self._waiting.discard(job)
+        return bool(assignments_by_view)
 
-    def _place_step(self, job, tasks, pool, headroom, assignments_by_view, now):
+    def _place_step(self, job, tasks, pool, assignments_by_view, now):
         """Places tasks of one step; returns whether all of them were placed."""
         complete = True
         blocked = False  # for tasks that avoid no runner, and so for all such tasks
         for task in tasks:
-            if not headroom.admits(job, now):
+            if not pool.headroom.admits(job, now):
                 return False
             view = None
             if task.avoided_runners or not blocked:
@@ -113,7 +116,7 @@
                 if view is None:
                     return False
             assignment = self._assign(job, task, view, now)
-            headroom.subtract(assignment.resources)
+            pool.headroom.recount()
             assignments_by_view.setdefault(view, []).append(assignment)
         return complete
 
--- a/packages/jobs/banyanwheel_jobs/placing/room.py
+++ b/packages/jobs/banyanwheel_jobs/placing/room.py
@@ -1,5 +1,7 @@
 """The runners that may get tasks in one placement round, and their room."""
 
+from .headroom import Headroom
+
 __all__ = ["Candidates", "Pool", "Room"]
 
 MIN_UNSUSPECTED_SHARE = 0.5  # of a pool; below it suspicion is ignored
@@ -38,6 +40,7 @@
         unsuspected = [view for view in views if not view.suspected(now)]
         if MIN_UNSUSPECTED_SHARE * len(views) <= len(unsuspected) < len(views):
             self.preferred = Candidates(unsuspected)
+        self.headroom = Headroom(views)
         self._large_enough = {}
 
     def may_run(self, resources):
@@ -61,6 +64,11 @@
             for label in ("", *view.worker.labels):
                 self._index.setdefault((view.worker.service, label), []).append(view)
 
+    @property
+    def largest_cpu(self):
+        """The largest free CPU of a single runner, in thousandths of a core."""
+        return max((view.free.cpu for view in self._views), default=0)
+
     @property
     def supply(self):
         """The kinds of workers, as a frozen set of (service, labels, capacity)."""
@@ -69,6 +77,11 @@
             (worker.service, worker.labels, worker.capacity) for worker in workers
         )
 
+    def recount(self):
+        """Has free room counted anew, after a task has been placed."""
+        for pool in self._pools.values():
+            pool.headroom.recount()
+
     def pool(self, service, label):
         """Returns the Pool for tasks that require ``label``, or none if it is empty."""
         key = (service, label)
--- a/tests/jobs/owners/test_dispatching.py
+++ b/tests/jobs/owners/test_dispatching.py
@@ -113,3 +113,35 @@
     job = fleet.submit_steps(1, steps)
     fleet.run(0.5)
     assert [task.state for task in fleet.tasks(job)] == ["waiting", "done", "done"]
+
+
+def test_a_full_service_does_not_keep_an_idle_one_from_getting_work():
+    """The reserve for urgent jobs was reckoned over all services (review/10)."""
+    small = FleetWorker("small", 4_000, service="other")
+    fleet = Fleet(FleetWorker("large", 96_000), small)
+    fleet.submit(1, count=96, estimate_ms=60_000)
+    fleet.run(0.2)
+    job_id = fleet.submit(2, service="other", estimate_ms=100)
+    fleet.run(0.3)
+    assert fleet.state(job_id) == "completed"
+
+
+def test_full_workers_do_not_keep_idle_ones_of_another_label_from_getting_work():
+    """The same cause within one service: the full ones can't run these tasks."""
+    small = FleetWorker("small", 4_000, labels=("b",))
+    fleet = Fleet(FleetWorker("large", 96_000, labels=("a",)), small)
+    fleet.submit(1, count=96, estimate_ms=60_000, label="a")
+    fleet.run(0.2)
+    job_id = fleet.submit(2, label="b", estimate_ms=100)
+    fleet.run(0.3)
+    assert fleet.state(job_id) == "completed"
+
+
+def test_only_urgent_jobs_use_the_reserve():
+    fleet = Fleet(FleetWorker("one", 40_000))
+    patient = fleet.submit(1, count=39, estimate_ms=60_000)
+    fleet.run(0.2)
+    assert len(fleet.waiting(patient)) == 1
+    urgent = fleet.submit(2, count=2, estimate_ms=100, target_ms=50)
+    fleet.run(0.3)
+    assert fleet.state(urgent) == "completed"
