Keep suspected workers from a flood, also for tasks that have waited long

In a flood of stored jobs all tasks have waited that long, and a worker that fails everything always has room. A task whose queue allows few attempts would have failed for it.

Change: tasks that have waited get the suspected workers too only while less than half of their service's CPU is in use, counted when it is needed: at the start of a round many runs may just have ended. That is where a job must not wait.

--- a/packages/jobs/banyanwheel_jobs/owners/dispatching.py
+++ b/packages/jobs/banyanwheel_jobs/owners/dispatching.py
@@ -108,7 +108,7 @@
                 view = self._placement.choose(
                     job,
                     task,
-                    pool.usable.views,
+                    pool.fallback.views,
                     assignments_by_view,
                     now,
                     any_runner=True,
--- a/packages/jobs/banyanwheel_jobs/placing/headroom.py
+++ b/packages/jobs/banyanwheel_jobs/placing/headroom.py
@@ -4,6 +4,7 @@
 
 RESERVED_SHARE = 0.05  # of a pool; about one of the widest jobs of short tasks
 URGENT_SLACK_S = 0.25  # jobs with more slack may not use the reserve
+BUSY_SHARE = 0.5  # in use
 
 
 class Headroom:
@@ -15,17 +16,27 @@
 
     def __init__(self, views):
         self._views = views
-        self._reserve = RESERVED_SHARE * sum(view.worker.capacity.cpu for view in views)
+        self._capacity = sum(view.worker.capacity.cpu for view in views)
         self._free = None  # summed up when it is next needed
 
+    @property
+    def free(self):
+        """The free CPU of all runners."""
+        if self._free is None:
+            self._free = sum(max(0, view.free.cpu) for view in self._views)
+        return self._free
+
+    @property
+    def busy(self):
+        """Whether ``BUSY_SHARE`` of the CPU is in use."""
+        return self.free <= (1 - BUSY_SHARE) * self._capacity
+
     def admits(self, job, now):
         """Returns whether another task of a job may be placed.
 
         Once only the reserve is free, the job needs a slack below ``URGENT_SLACK_S``.
         """
-        if self._free is None:
-            self._free = sum(max(0, view.free.cpu) for view in self._views)
-        if self._free > self._reserve:
+        if self.free > RESERVED_SHARE * self._capacity:
             return True
         return job.on_time_until - job.critical_path_s - now < URGENT_SLACK_S
 
--- a/packages/jobs/banyanwheel_jobs/placing/room.py
+++ b/packages/jobs/banyanwheel_jobs/placing/room.py
@@ -32,17 +32,26 @@
     """The runners of one service, or those of them whose workers have one label.
 
     ``preferred`` leaves out the suspected ones. If most are suspected, the fault lies
-    with the jobs, and it is the same as ``usable``.
+    with the jobs, and it is the same as ``usable``. Tasks that have waited for long get
+    ``fallback``, which has the suspected ones too while most of the service is free:
+    in a flood, a worker that fails everything would get all that waits.
     """
 
-    def __init__(self, views, now):
+    def __init__(self, views, now, whole_service=None):
         self.usable = self.preferred = Candidates(views)
         unsuspected = [view for view in views if not view.suspected(now)]
         if MIN_UNSUSPECTED_SHARE * len(views) <= len(unsuspected) < len(views):
             self.preferred = Candidates(unsuspected)
         self.headroom = Headroom(views)
+        self._whole_service = whole_service or self
         self._large_enough = {}
 
+    @property
+    def fallback(self):
+        """The candidates for tasks that have waited for a better runner for long."""
+        busy = self._whole_service.headroom.busy
+        return self.preferred if busy else self.usable
+
     def may_run(self, resources):
         """Returns whether a worker is large enough for a task, with room or not."""
         if resources not in self._large_enough:
@@ -86,5 +95,7 @@
         """Returns the Pool for tasks that require ``label``, or none if it is empty."""
         key = (service, label)
         if key not in self._pools:
-            self._pools[key] = Pool(self._index.get(key, ()), self._now)
+            views = self._index.get(key, ())
+            whole_service = self.pool(service, "") if label else None
+            self._pools[key] = Pool(views, self._now, whole_service)
         return self._pools[key]
--- a/tests/jobs/owners/fleet.py
+++ b/tests/jobs/owners/fleet.py
@@ -45,6 +45,7 @@
     heard: bool = True
     running: dict = field(default_factory=dict)  # (end time, resources) by (task, run)
     ends: dict = field(default_factory=dict)  # RunEnd by (task, run)
+    failed: int = 0  # runs
 
     @property
     def used(self):
@@ -69,6 +70,7 @@
                 self._end(key, EndKind.FAILED if self.failing else EndKind.DONE)
 
     def _end(self, key, kind):
+        self.failed += kind is EndKind.FAILED
         self.ends[key] = RunEnd(0, *key, kind, "", 1, "")
 
     def report(self, now):
--- a/tests/jobs/owners/test_dispatching.py
+++ b/tests/jobs/owners/test_dispatching.py
@@ -3,6 +3,7 @@
 import pytest
 
 from banyanwheel_jobs.model import Resources, Step
+from banyanwheel_jobs.placing.runner_view import SUSPECT_S
 
 from .fleet import Fleet, FleetWorker
 
@@ -145,3 +146,15 @@
     urgent = fleet.submit(2, count=2, estimate_ms=100, target_ms=50)
     fleet.run(0.3)
     assert fleet.state(urgent) == "completed"
+
+
+def test_a_worker_that_fails_everything_does_not_swallow_a_flood():
+    """It always has room; each time that it is tried, it gets as much as it takes."""
+    grey = FleetWorker("grey", 4_000, failing=True)
+    fleet = Fleet(grey, *(FleetWorker(f"sound-{n}", 4_000) for n in range(7)))
+    ids = [fleet.submit(number, estimate_ms=500) for number in range(1_200)]
+    seconds = 40
+    fleet.run(seconds)
+    assert {fleet.state(job_id) for job_id in ids} == {"completed"}
+    tries = 1 + seconds / SUSPECT_S
+    assert grey.failed <= 4 * tries
