Let a stored job use the room of other cells once its own is full

Deployments with more than 24 runners are divided into cells, and a stored job is placed by its owner in the owner's cells. The runners of other cells were contacted only for jobs that no worker of the cell may run. With the own cell full for long, the job waited beside idle workers.

Change: once a stored job has waited for 1 s, and another placer offers more than 10% of its CPU, the owner contacts all runners and places it there. Without such an offer nothing is contacted, so that a flood everywhere costs no more messages. Transient jobs are forwarded to other cells already.

Tests: tests/daemon/test_contacts.py, three cases; the first failed before.

--- a/packages/daemon/banyanwheel_daemon/contacts.py
+++ b/packages/daemon/banyanwheel_daemon/contacts.py
@@ -115,7 +115,7 @@
         """Adds views of the runners that are needed now, and drops the others."""
         needed = set(self._election.runners)
         known = {host.address: host for host in self._members.hosts(RUNNER)}
-        if self._owner.needs_all_runners(boot_time()):
+        if self._needs_all_runners(boot_time()):
             needed.update(known)
         needed &= known.keys()
         homes = self._election.homes(self._placers.live(boot_time()))
@@ -128,6 +128,17 @@
         self._contact_runners(added)
         self._drop_views(self._owner.views.keys() - needed, known)
 
+    def _needs_all_runners(self, now):
+        """Returns whether the runners of the own cells may not be enough.
+
+        Stored jobs are not forwarded. If they have waited for room here while other
+        cells have much of it, their owner places them there itself.
+        """
+        return self._owner.needs_all_runners(now) or any(
+            self._placers.has_roomy_offer(submission, now)
+            for submission in self._owner.waiting_for_room(now)
+        )
+
     def _drop_views(self, unneeded, known):
         """Drops views of runners that have no runs or ends of this dispatcher.
 
--- a/packages/jobs/banyanwheel_jobs/cells/placers.py
+++ b/packages/jobs/banyanwheel_jobs/cells/placers.py
@@ -128,6 +128,14 @@
         candidates = self._candidates(now, excluded)
         return bool(_with_room(candidates, submission, CROWDED_SHARE))
 
+    def has_roomy_offer(self, submission, now):
+        """Returns whether a placer has much room for a job, on any rack."""
+        for placer in self._candidates(now, ()):
+            offer = _offer_for(placer.offers, submission)
+            if offer and offer.free_cpu > ROOMY_SHARE * offer.capacity_cpu:
+                return True
+        return False
+
     @staticmethod
     def _last_resort(near, far, submission, own_offers):
         """Returns a placer without enough room, the best of its kind."""
@@ -170,10 +178,9 @@
 
 def _offer_for(offers, submission):
     """Returns the offer of the job's service if it has the labels, else None."""
-    labels = {step.label for step in submission.steps if step.label}
     for offer in offers:
         if offer.service == submission.queue.service:
-            return offer if labels.issubset(offer.labels) else None
+            return offer if submission.labels.issubset(offer.labels) else None
     return None
 
 
--- a/packages/jobs/banyanwheel_jobs/model.py
+++ b/packages/jobs/banyanwheel_jobs/model.py
@@ -180,6 +180,11 @@
         if sum(step.count for step in self.steps) > MAX_TASKS:
             raise ValueError(f"more than {MAX_TASKS} tasks")
 
+    @property
+    def labels(self):
+        """The labels that its steps require, as a frozen set."""
+        return frozenset(step.label for step in self.steps if step.label)
+
     @property
     def fingerprint(self):
         """A hash of queue, spec and steps.
--- a/packages/jobs/banyanwheel_jobs/owners/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owners/owner.py
@@ -28,6 +28,7 @@
 
 RETENTION_MARGIN_S = 30.0
 UNPLACEABLE_AFTER_S = 0.3  # a job waits this long before more runners are contacted
+ROOM_WAIT_S = 1.0  # a stored job waits this long for room in its owner's cells
 
 
 class Owner(ReportHandling, TransientJobs, Dispatching, Supervision):
@@ -342,6 +343,21 @@
         offers = offers_of(self._views.values(), now)
         return any(not suits(offers, job.submission) for job in waiting)
 
+    def waiting_for_room(self, now):
+        """Returns the submissions of stored jobs that have waited for ``ROOM_WAIT_S``.
+
+        Of those with the same service and labels, one is returned.
+        """
+        waiting = {}
+        for job in self._waiting.active:
+            submission = job.submission
+            if submission.transient or now - job.received_at <= ROOM_WAIT_S:
+                continue
+            kind = (submission.queue.service, submission.labels)
+            if kind not in waiting and any(job.startable(now)):
+                waiting[kind] = submission
+        return list(waiting.values())
+
     def find(self, number, task_id):
         """Returns partition, job and task, each None if this owner does not know it."""
         partition = self._partition(number)
--- a/tests/daemon/test_contacts.py
+++ b/tests/daemon/test_contacts.py
@@ -5,12 +5,14 @@
 import pytest
 
 from banyanwheel_daemon.addresses import Address
+from banyanwheel_daemon.clocks import boot_time
 from banyanwheel_daemon.contacts import CONTACTS_PER_REMOTE_CLAIMS, Contacts
 from banyanwheel_daemon.members import Member, Members
 from banyanwheel_daemon.role import DISPATCHER, RUNNER
 from banyanwheel_daemon.settings import Process
 from banyanwheel_jobs.cells.placers import Placers
-from banyanwheel_jobs.messages import Claims, Heartbeat
+from banyanwheel_jobs.messages import Claims, Heartbeat, ServiceOffer
+from banyanwheel_jobs.model import Queue, Resources, Step, Submission
 from tests.jobs.world import EventRecorder, lone_owner
 
 OWN = "10.0.0.1:7000"
@@ -39,7 +41,8 @@
         self.stopping = False
         self.hosted = Hosted()
         self.members = Members(None, EventRecorder())
-        self.owner = lone_owner()
+        self.owner = lone_owner(store=lambda partition: None)
+        self.placers = Placers()
         known = self.members.known
         known |= {OWN: Member(DISPATCHER, "dc-0"), NEAR: Member(DISPATCHER, "dc-0")}
         known[FAR] = Member(DISPATCHER, "dc-1")
@@ -49,7 +52,7 @@
             Process(name="one", data_centre="dc-0", address=Address(OWN)),
             self.owner,
             self.members,
-            Placers(),
+            self.placers,
             self.hosted,
             Ownership(),
             EventRecorder(),
@@ -152,3 +155,47 @@
     election = site.contacts._election
     homes = election.homes({"dc-0/0": {NEAR}})
     assert len(homes) == RUNNERS_PER_DATA_CENTRE / 2
+
+
+def offer_elsewhere(site, free_cpu):
+    """Has the dispatcher of the other data centre claim a cell with free CPU."""
+    offers = (ServiceOffer("desk", free_cpu, 100_000, ("a",)),)
+    claims = Claims((), {}, ("dc-1/0",), offers, 1)
+    site.placers.hear(FAR, "far", claims, boot_time())
+
+
+def submit(site, transient=False):
+    """Hands a job in that waits for room, since no worker is known yet."""
+    queue = Queue("q", "desk", 0, 3, 1.6, 60_000)
+    steps = (Step(1, Resources(1_000), 100, label="a"),)
+    submission = Submission("a" * 16, queue, "", steps, 0, transient=transient)
+    received_at = boot_time() - 2.0
+    if transient:
+        call = submission, lambda reply: None, received_at, received_at + 60
+        site.owner.run_transient(*call)
+        return
+    partition = site.owner.open(0, 1, [], received_at, 0)
+    site.owner.submit(submission, lambda reply: None, received_at)
+    while partition.journal.next_batch():
+        partition.journal.mark_stored()
+
+
+@pytest.mark.parametrize(
+    ("free_cpu", "transient", "contacted"),
+    [
+        (50_000, False, 2 * RUNNERS_PER_DATA_CENTRE),
+        (1_000, False, RUNNERS_PER_DATA_CENTRE),
+        (50_000, True, RUNNERS_PER_DATA_CENTRE),
+    ],
+)
+def test_a_stored_job_does_not_wait_for_its_cell_beside_room_in_others(
+    site, monkeypatch, free_cpu, transient, contacted
+):
+    """Relative of review/9: a full cell kept it from idle workers of other cells.
+
+    Transient jobs are forwarded there instead.
+    """
+    monkeypatch.setattr(site.owner, "needs_all_runners", lambda now: False)
+    submit(site, transient)
+    offer_elsewhere(site, free_cpu)
+    assert len(site.contact()[1]) == contacted
--- a/tests/jobs/owners/test_dispatching.py
+++ b/tests/jobs/owners/test_dispatching.py
@@ -3,6 +3,7 @@
 import pytest
 
 from banyanwheel_jobs.model import Resources, Step
+from banyanwheel_jobs.placing.placement import WAIT_FOR_FASTER_S
 from banyanwheel_jobs.placing.runner_view import SUSPECT_S
 
 from .fleet import Fleet, FleetWorker
@@ -158,3 +159,16 @@
     assert {fleet.state(job_id) for job_id in ids} == {"completed"}
     tries = 1 + seconds / SUSPECT_S
     assert grey.failed <= 4 * tries
+
+
+def test_a_task_waits_for_a_faster_worker_for_a_second_at_most():
+    fast = FleetWorker("fast", 1_000, labels=("a",), slowness=0.5)
+    slow = FleetWorker("slow", 4_000, slowness=3.0)
+    fleet = Fleet(fast, slow)
+    fleet.submit(1, label="a", estimate_ms=60_000)
+    fleet.run(0.1)
+    job_id = fleet.submit(2, target_ms=0, estimate_ms=1_000)
+    fleet.run(WAIT_FOR_FASTER_S - 0.1)
+    assert fleet.waiting(job_id)
+    fleet.run(0.3)
+    assert slow.running and not fleet.waiting(job_id)
