--- a/packages/jobs/banyanwheel_jobs/owners/dispatching.py
+++ b/packages/jobs/banyanwheel_jobs/owners/dispatching.py
@@ -105,18 +105,11 @@
                 blocked = blocked or not task.avoided_runners
                 if not _deferral_over(task, now):
                     continue
-                view = self._placement.choose(
-                    job,
-                    task,
-                    pool.fallback.views,
-                    assignments_by_view,
-                    now,
-                    any_runner=True,
-                )
+                view = self._choose_any(job, task, pool, assignments_by_view, now)
                 if view is None:
                     return False
             assignment = self._assign(job, task, view, now)
-            pool.headroom.recount()
+            pool.headroom.subtract(assignment.resources.cpu)
             assignments_by_view.setdefault(view, []).append(assignment)
         return complete
 
@@ -125,6 +118,15 @@
             return None
         return self._placement.choose(job, task, pool.preferred.views, used, now)
 
+    def _choose_any(self, job, task, pool, used, now):
+        """Returns the view of any runner with room, for a task that has waited long."""
+        fallback = pool.fallback
+        if not fallback.has_room(job.step_of(task).resources):
+            return None
+        return self._placement.choose(
+            job, task, fallback.views, used, now, any_runner=True
+        )
+
     def _assign(self, job, task, view, now):
         """Places a task at a runner; returns the Assignment, which is not sent yet."""
         partition = self._partition(job.partition)
--- a/packages/jobs/banyanwheel_jobs/placing/headroom.py
+++ b/packages/jobs/banyanwheel_jobs/placing/headroom.py
@@ -40,6 +40,10 @@
             return True
         return job.on_time_until - job.critical_path_s - now < URGENT_SLACK_S
 
+    def subtract(self, cpu):
+        """Subtracts the CPU of a task that has been placed at one of the runners."""
+        self._free = self.free - cpu
+
     def recount(self):
-        """Has the free CPU summed up anew, after a task has been placed."""
+        """Has the free CPU summed up anew, after tasks have been placed."""
         self._free = None
--- a/packages/jobs/banyanwheel_jobs/placing/room.py
+++ b/packages/jobs/banyanwheel_jobs/placing/room.py
@@ -68,10 +68,7 @@
         self._views = views
         self._now = now
         self._pools = {}
-        self._index = {}
-        for view in views:
-            for label in ("", *view.worker.labels):
-                self._index.setdefault((view.worker.service, label), []).append(view)
+        self._labels = None  # of the workers by service, collected when first needed
 
     @property
     def largest_cpu(self):
@@ -87,15 +84,35 @@
         )
 
     def recount(self):
-        """Has free room counted anew, after a task has been placed."""
+        """Has free room counted anew, after tasks of a job have been placed."""
         for pool in self._pools.values():
             pool.headroom.recount()
 
     def pool(self, service, label):
-        """Returns the Pool for tasks that require ``label``, or none if it is empty."""
-        key = (service, label)
-        if key not in self._pools:
-            views = self._index.get(key, ())
-            whole_service = self.pool(service, "") if label else None
-            self._pools[key] = Pool(views, self._now, whole_service)
-        return self._pools[key]
+        """Returns the Pool for tasks that require ``label``, which may be empty."""
+        pool = self._pools.get((service, label))
+        if pool is None:
+            pool = self._pools[service, label] = self._create_pool(service, label)
+        return pool
+
+    def _create_pool(self, service, label):
+        if not label:
+            views = [view for view in self._views if view.worker.service == service]
+            return Pool(views, self._now)
+        whole_service = self.pool(service, "")
+        views = []
+        if label in self._labels_of(service):
+            views = [
+                view
+                for view in whole_service.usable.views
+                if label in view.worker.labels
+            ]
+        return Pool(views, self._now, whole_service)
+
+    def _labels_of(self, service):
+        if self._labels is None:
+            self._labels = {}
+            for view in self._views:
+                labels = self._labels.setdefault(view.worker.service, set())
+                labels.update(view.worker.labels)
+        return self._labels.get(service, ())
