Bound the wait for the reserve of one label in a mostly free service

Test: test_the_reserve_of_one_label_does_not_hold_while_its_service_is_mostly_ free; it failed before.

--- a/packages/jobs/banyanwheel_jobs/owners/dispatching.py
+++ b/packages/jobs/banyanwheel_jobs/owners/dispatching.py
@@ -95,10 +95,11 @@
         complete = True
         blocked = False  # for tasks that avoid no runner, and so for all such tasks
         for task in tasks:
-            if not pool.headroom.admits(job, now):
+            reserved = not pool.headroom.admits(job, now)
+            if reserved and pool.busy:
                 return False
             view = None
-            if task.avoided_runners or not blocked:
+            if not reserved and (task.avoided_runners or not blocked):
                 view = self._choose(job, task, pool, assignments_by_view, now)
             if view is None:
                 complete = False
--- a/packages/jobs/banyanwheel_jobs/placing/room.py
+++ b/packages/jobs/banyanwheel_jobs/placing/room.py
@@ -46,11 +46,15 @@
         self._whole_service = whole_service or self
         self._large_enough = {}
 
+    @property
+    def busy(self):
+        """Whether much of the CPU of the whole service is in use."""
+        return self._whole_service.headroom.busy
+
     @property
     def fallback(self):
         """The candidates for tasks that have waited for a better runner for long."""
-        busy = self._whole_service.headroom.busy
-        return self.preferred if busy else self.usable
+        return self.preferred if self.busy else self.usable
 
     def may_run(self, resources):
         """Returns whether a worker is large enough for a task, with room or not."""
--- a/tests/jobs/owners/test_dispatching.py
+++ b/tests/jobs/owners/test_dispatching.py
@@ -139,6 +139,16 @@
     assert fleet.state(job_id) == "completed"
 
 
+def test_the_reserve_of_one_label_does_not_hold_while_its_service_is_mostly_free():
+    """The 5% of the few workers with that label stayed free for a minute."""
+    labelled = FleetWorker("labelled", 40_000, labels=("a",))
+    fleet = Fleet(labelled, FleetWorker("other", 60_000))
+    for number in range(40):
+        fleet.submit(number, estimate_ms=60_000, label="a")
+    fleet.run(LONGEST_IDLE_S)
+    assert labelled.used == labelled.cpu
+
+
 def test_only_urgent_jobs_use_the_reserve():
     fleet = Fleet(FleetWorker("one", 40_000))
     patient = fleet.submit(1, count=39, estimate_ms=60_000)
