--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -88,3 +88,18 @@
     And dispatcher-1 goes on
     Then every one of these jobs is known at dispatcher-1
     And every promise is kept
+
+  # Guards against an epoch that a restarted dispatcher shares with its predecessor.
+  @whole-answer
+  Scenario: The dispatchers start again while the log refuses calls
+    When 4 stored jobs of 1 tasks of 50 ms are completed at dispatcher-1
+    And the log has the fault down
+    And dispatcher-1 is replaced
+    And dispatcher-2 is replaced
+    And 2 seconds pass
+    And the log is mended
+    And the dispatchers are ready
+    And 8 stored jobs of 1 tasks of 50 ms are completed at dispatcher-1
+    And every process is killed at once and started again
+    Then every one of these jobs is known at dispatcher-1
+    And every promise is kept
--- a/tests/standins/platform_log.py
+++ b/tests/standins/platform_log.py
@@ -110,6 +110,11 @@
             if until < now:
                 del self.members[member]
 
+    def postpone(self, seconds):
+        """Lets all members stay for longer, as the log has been down meanwhile."""
+        for member in self.members:
+            self.members[member] += seconds
+
     def leave(self, member):
         if self.members.pop(member, None):
             self.generation += 1
@@ -127,8 +132,15 @@
         self.topics = {}
         self.groups = {}
         self.faults = LogFaults()
+        self.down_since = 0.0
 
     def set_faults(self, faults):
+        now = time.monotonic()
+        if faults.down and not self.faults.down:
+            self.down_since = now
+        if self.faults.down and not faults.down:
+            for group in self.groups.values():
+                group.postpone(now - self.down_since)
         self.faults = faults
 
     def partition(self, topic, part):
