--- a/tests/jobs/owners/test_no_task_waits.py
+++ b/tests/jobs/owners/test_no_task_waits.py
@@ -6,7 +6,7 @@
 
 from collections import Counter
 
-from hypothesis import given, settings, strategies as st
+from hypothesis import example, given, settings, strategies as st
 
 from banyanwheel_jobs.model import Resources
 
@@ -50,6 +50,33 @@
 )
 
 
+WORKER = {"service": "desk", "labels": (), "slowness": 1.0, "home": True}
+LONG_TASKS = {
+    "service": "desk",
+    "target_ms": 60_000,
+    "count": 40,
+    "resources": Resources(1_000),
+    "estimate_ms": 60_000,
+    "label": "",
+    "max_per_worker": 0,
+}
+ONE_SERVICE_FULL = (
+    [
+        WORKER | {"cpu": 64_000},
+        WORKER | {"cpu": 64_000},
+        WORKER | {"cpu": 4_000, "service": "other"},
+    ],
+    [(0.0, 5, LONG_TASKS), (1.0, 1, LONG_TASKS | {"service": "other", "count": 1})],
+    [],
+)
+ONE_LABEL_FULL = (
+    [WORKER | {"cpu": 64_000, "labels": ("a",)}, *[WORKER | {"cpu": 64_000}] * 2],
+    [(0.0, 1, LONG_TASKS | {"label": "a", "count": 61})]
+    + [(1.0, 1, LONG_TASKS | {"label": "a", "count": 1})],
+    [],
+)
+
+
 class Standstills:
     """Finds the jobs that stand still, from what the workers run."""
 
@@ -89,6 +116,8 @@
         return sum(fitting) >= 2
 
 
+@example(*ONE_SERVICE_FULL)
+@example(*ONE_LABEL_FULL)
 @settings(derandomize=True, max_examples=EXAMPLES, deadline=None)
 @given(
     st.lists(WORKERS, min_size=1, max_size=20),
