--- a/packages/daemon/banyanwheel_daemon/ownership.py
+++ b/packages/daemon/banyanwheel_daemon/ownership.py
@@ -61,7 +61,7 @@
         self._generation = 0
         self._renewal_due = asyncio.Event()
         self._assigned = frozenset()
-        self._former_membership = True  # one that has not been ended may be left
+        self._former_membership = True  # the log may still have one of this name
         self._spent = set()  # partitions whose present epoch must not be used again
         self._open_tasks = {}
         self._write_tasks = {}
--- a/packages/jobs/banyanwheel_jobs/owners/dispatching.py
+++ b/packages/jobs/banyanwheel_jobs/owners/dispatching.py
@@ -93,7 +93,8 @@
     def _place_step(self, job, tasks, pool, assignments_by_view, now):
         """Places tasks of one step; returns whether all of them were placed."""
         complete = True
-        blocked = False  # for tasks that avoid no runner, and so for all such tasks
+        # What keeps one task that avoids no runner from being placed keeps all others.
+        blocked = False
         for task in tasks:
             reserved = not pool.headroom.admits(job, now)
             if reserved and pool.busy:
@@ -115,6 +116,7 @@
         return complete
 
     def _choose(self, job, task, pool, used, now):
+        """Returns the view of the best runner with room, or None to wait."""
         if not pool.preferred.has_room(job.step_of(task).resources):
             return None
         return self._placement.choose(job, task, pool.preferred.views, used, now)
@@ -183,7 +185,10 @@
 
 
 def _deferral_over(task, now):
-    """Returns whether a task that could be placed has waited for a better runner."""
+    """Returns whether a task has waited for a better runner for ``MAX_DEFERRAL_S``.
+
+    The first call for a run of the task starts that time.
+    """
     if task.deferred_since is None:
         task.deferred_since = now
     return now - task.deferred_since > MAX_DEFERRAL_S
--- a/packages/jobs/banyanwheel_jobs/owners/waiting.py
+++ b/packages/jobs/banyanwheel_jobs/owners/waiting.py
@@ -26,7 +26,7 @@
 
     @property
     def samples(self):
-        """The active jobs, and one of the parked jobs with the same needs each."""
+        """The active jobs, and one of the parked jobs for each kind of needs."""
         return [*self._active, *(next(iter(jobs)) for jobs in self._parked.values())]
 
     def add(self, job):
--- a/packages/jobs/banyanwheel_jobs/placing/headroom.py
+++ b/packages/jobs/banyanwheel_jobs/placing/headroom.py
@@ -10,8 +10,8 @@
 class Headroom:
     """The free CPU of some runners, in thousandths of a core, and its reserved part.
 
-    A reserve is that of the runners that may run the same tasks: of others, neither the
-    free room nor the lack of it counts.
+    The runners are those that may run the same tasks. The room of any others must not
+    count: it is of no use to these tasks.
     """
 
     def __init__(self, views):
--- a/packages/jobs/banyanwheel_jobs/placing/room.py
+++ b/packages/jobs/banyanwheel_jobs/placing/room.py
@@ -48,7 +48,7 @@
 
     @property
     def busy(self):
-        """Whether much of the CPU of the whole service is in use."""
+        """Whether half of the CPU of the whole service is in use."""
         return self._whole_service.headroom.busy
 
     @property
