Avoid a worker that has refused a task, as one where it failed

Cause: only failed and straggling runs make a task avoid a worker. One that refuses has room all the time and stays the best choice.

Change: a refusal by the worker itself (unhealthy, invalid, no room) makes the task avoid it and counts towards suspecting it.

Test: test_a_task_does_not_go_back_and_forth_to_a_worker_that_refuses_it; it failed before. After: tests/jobs passes.

--- a/packages/jobs/banyanwheel_jobs/owners/report_handling.py
+++ b/packages/jobs/banyanwheel_jobs/owners/report_handling.py
@@ -9,6 +9,9 @@
 
 # Ends that a task records; an end of another kind only leads to a new run.
 COUNTED_KINDS = (EndKind.DONE, EndKind.FAILED)
+# Refusals by the worker itself. Such a worker has room all the time, so that a task
+# which went back to it at once would wait there beside others.
+REFUSED_BY_WORKER = ("worker-unhealthy", "worker-invalid", "worker-no-room")
 
 
 class ReportHandling:
@@ -147,8 +150,11 @@
         if end.checkpoint:
             task.checkpoint = end.checkpoint
         counted = end.kind in COUNTED_KINDS
-        if counted:
-            view.record_end(end.kind is EndKind.FAILED, now)
+        refused = end.kind is EndKind.REFUSED and end.reason in REFUSED_BY_WORKER
+        if counted or refused:
+            view.record_end(end.kind is not EndKind.DONE, now)
+        if refused:
+            task.avoided_runners.add(view.name)
         if counted and partition.number != TRANSIENT_PARTITION:
             if not job.unstored_ends:
                 job.unstored_since = now
--- a/tests/jobs/owners/fleet.py
+++ b/tests/jobs/owners/fleet.py
@@ -58,7 +58,7 @@
             if key in self.running or key in self.ends:
                 continue
             if self.refusing:
-                self._end(key, EndKind.REFUSED)
+                self._end(key, EndKind.REFUSED, "worker-unhealthy")
                 continue
             seconds = run.estimate_ms / 1000 * self.slowness
             self.running[key] = (now + seconds, run.resources)
@@ -69,9 +69,9 @@
                 del self.running[key]
                 self._end(key, EndKind.FAILED if self.failing else EndKind.DONE)
 
-    def _end(self, key, kind):
+    def _end(self, key, kind, reason=""):
         self.failed += kind is EndKind.FAILED
-        self.ends[key] = RunEnd(0, *key, kind, "", 1, "")
+        self.ends[key] = RunEnd(0, *key, kind, "", 1, reason)
 
     def report(self, now):
         free = Resources(self.cpu - self.used)
--- a/tests/jobs/owners/test_dispatching.py
+++ b/tests/jobs/owners/test_dispatching.py
@@ -27,6 +27,15 @@
     assert fleet.state(job_id) == "completed"
 
 
+def test_a_task_does_not_go_back_and_forth_to_a_worker_that_refuses_it():
+    """It was sent to the rack with its data again each time, beside idle workers."""
+    refusing = FleetWorker("refusing", 8_000, labels=("r1",), refusing=True)
+    fleet = Fleet(refusing, FleetWorker("sound", 8_000))
+    ids = [fleet.submit(number, rack="r1", estimate_ms=100) for number in range(4)]
+    fleet.run(0.5)
+    assert {fleet.state(job_id) for job_id in ids} == {"completed"}
+
+
 def test_a_failed_task_goes_elsewhere_as_soon_as_there_is_room():
     fleet = Fleet(FleetWorker("sound", 1_000), FleetWorker("grey", 1_000))
     fleet.workers["grey"].failing = True
