--- a/tests/jobs/owners/test_no_task_waits.py
+++ b/tests/jobs/owners/test_no_task_waits.py
@@ -76,6 +76,12 @@
     [],
 )
 
+THE_FASTEST_REFUSES = (
+    [WORKER | {"cpu": 16_000, "slowness": 0.5}, *[WORKER | {"cpu": 16_000}] * 2],
+    [(1.0, 1, LONG_TASKS | {"count": 2, "estimate_ms": 400})],
+    [("refusing", 0, 0.5, 7.0)],
+)
+
 
 class Standstills:
     """Finds the jobs that stand still, from what the workers run."""
@@ -91,7 +97,9 @@
             key[0].job for worker in fleet.workers.values() for key in worker.running
         )
         for job_id, fields in self._jobs.items():
-            if active[job_id] or not fleet.waiting(job_id) or not self._room(fields):
+            # A task that is placed at a worker that refuses it stands still as well.
+            ended = job_id not in fleet.jobs
+            if active[job_id] or ended or not self._room(fields):
                 self._since[job_id] = fleet.now
             since = self._since.setdefault(job_id, fleet.now)
             assert fleet.now - since < STANDSTILL_S, (job_id, fields)
@@ -118,6 +126,7 @@
 
 @example(*ONE_SERVICE_FULL)
 @example(*ONE_LABEL_FULL)
+@example(*THE_FASTEST_REFUSES)
 @settings(derandomize=True, max_examples=EXAMPLES, deadline=None)
 @given(
     st.lists(WORKERS, min_size=1, max_size=20),
