--- a/packages/jobs/banyanwheel_jobs/runners/runner.py
+++ b/packages/jobs/banyanwheel_jobs/runners/runner.py
@@ -165,16 +165,14 @@
     def record_leave_announced(self):
         """Has the worker polled, since a message says that it has left.
 
-        The message names no incarnation. An earlier one may have sent it, so that it
-        ends no runs: an answer shows that the worker lives on.
+        The message may be from an earlier incarnation, so that it ends no runs.
         """
         self._leave_announced = True
 
     def record_refused_poll(self, now):
-        """Records that nothing listens at the worker's address.
+        """Records that nothing listens at the worker's address; returns if it has left.
 
-        After the announcement of its leave, its process and all runs have ended.
-        Returns whether that is so.
+        That is so if its leave was announced: its process and all runs have ended.
         """
         if not self._leave_announced:
             return False
