--- /dev/null
+++ b/packages/jobs/banyanwheel_jobs/runners/lease.py
@@ -0,0 +1,70 @@
+"""The part of a runner that decides on its worker's lease.
+
+A worker has one lease for all runs on it, and kills them all when it expires. It is
+given as a deadline on the worker's clock.
+"""
+
+from ..authority import CLOCK_DRIFT_FACTOR
+from .runs import RunState
+
+__all__ = ["LEASE_EXPIRY_MARGIN_S", "Lease"]
+
+LEASE_EXPIRY_MARGIN_S = 0.15
+
+
+class Lease:
+    """Renews the worker's lease for no longer than the runs on it may continue."""
+
+    @property
+    def should_renew_lease(self):
+        """Whether to renew the lease, which has to lapse once a lapse is pending.
+
+        Runs that are still on the worker keep it until they end.
+        """
+        return self._pending_lapse is None or any(
+            run.on_worker for run in self._runs.values()
+        )
+
+    def update_worker_clock(self, clock_ms, now):
+        """Records a reading of the worker's clock, unless it is out of date."""
+        if clock_ms >= self._worker_clock[0]:
+            self._worker_clock = (clock_ms, now)
+
+    def deadline_ms(self, now):
+        """Returns a new lease deadline in ms of the worker's clock, and records it.
+
+        It is no later than the end of the authority for any run on the worker. For an
+        unresponsive worker it is None: unanswered polls could extend the lease forever,
+        so it is left to lapse.
+        """
+        if self._is_unresponsive(now):
+            return None
+        clock_ms, read_at = self._worker_clock
+        until = min(
+            (
+                self._authorized_until(run)
+                for run in self._runs.values()
+                if run.on_worker
+            ),
+            default=now + self._lease_s,
+        )
+        lease_s = max(0.0, min(self._lease_s, until - now))
+        end = now + lease_s * CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_MARGIN_S
+        self._lease_expires_at = max(self._lease_expires_at, end)
+        return int(clock_ms + (now - read_at + lease_s) * 1000)
+
+    def start_deadline_ms(self, run, now):
+        """Returns the lease deadline for starting a run, None if it must not start now.
+
+        The run may have ended since :meth:`begin_due_starts` returned it.
+        """
+        if run.state is not RunState.STARTING:
+            return None
+        return self.deadline_ms(now)
+
+    def _authorized_until(self, run):
+        """Returns the time until which a run may continue."""
+        if run.is_orphan:
+            return float("inf")
+        authority = self._authority.until(run.partition, run.owner)
+        return min(authority, run.expires_at, run.confirmed_until)
--- a/packages/jobs/banyanwheel_jobs/runners/overdue.py
+++ b/packages/jobs/banyanwheel_jobs/runners/overdue.py
@@ -1,9 +1,10 @@
 """The part of a runner that acts on the time that has passed."""
 
 from ..model import EndKind, Resources
+from .lease import LEASE_EXPIRY_MARGIN_S
 from .runs import RunState
 
-__all__ = ["LEASE_EXPIRY_MARGIN_S", "Overdue"]
+__all__ = ["Overdue"]
 
 # A run that waits longer is refused, so that its owner can place the task elsewhere.
 # Another dispatcher has taken the room, and a short job can't wait until more is free.
@@ -11,7 +12,6 @@
 START_WAIT_S = 0.4  # the same for a run that has room but may not start yet
 # How long a run waits at an unresponsive worker; a short job is on time within 0.4 s.
 UNRESPONSIVE_WAIT_S = 0.1
-LEASE_EXPIRY_MARGIN_S = 0.15
 LAPSE_DRAIN_S = 1.5  # time for runs to end by themselves before the lease lapses
 
 
--- a/packages/jobs/banyanwheel_jobs/runners/runner.py
+++ b/packages/jobs/banyanwheel_jobs/runners/runner.py
@@ -7,11 +7,12 @@
 
 from collections import deque
 
-from ..authority import CLOCK_DRIFT_FACTOR, Authority
+from ..authority import Authority
 from ..model import TRANSIENT_PARTITION, EndKind, Resources
 from ..ports import StartOutcome
 from .ack_cursor import AckCursor
-from .overdue import LEASE_EXPIRY_MARGIN_S, Overdue
+from .lease import Lease
+from .overdue import Overdue
 from .owner_messages import OwnerMessages
 from .runs import RunState, resources_used
 from .worker_reconciliation import WorkerReconciliation
@@ -30,7 +31,7 @@
 INCARNATION_TIMEOUT_S = 3.2  # two heartbeat intervals of a worker
 
 
-class Runner(WorkerReconciliation, OwnerMessages, Overdue):
+class Runner(WorkerReconciliation, OwnerMessages, Lease, Overdue):
     """Decides on the runs of one worker for all owners."""
 
     def __init__(self, partitions, lease_s, event_log):
@@ -220,11 +221,6 @@
             self._fence_step_ms *= 2
             self.fence += self._fence_step_ms
 
-    def update_worker_clock(self, clock_ms, now):
-        """Records a reading of the worker's clock, unless it is out of date."""
-        if clock_ms >= self._worker_clock[0]:
-            self._worker_clock = (clock_ms, now)
-
     def record_unanswered_poll(self, sent_at):
         """Records a poll of the worker's lists that was not answered."""
         self._unanswered_polls += 1
@@ -249,55 +245,6 @@
         since = self._unanswered_since
         return since is not None and now - since > WORKER_TIMEOUT_S
 
-    def deadline_ms(self, now):
-        """Returns a new lease deadline in ms of the worker's clock, and records it.
-
-        It is no later than the end of the authority for any run on the worker. For an
-        unresponsive worker it is None: unanswered polls could extend the lease forever,
-        so it is left to lapse.
-        """
-        if self._is_unresponsive(now):
-            return None
-        clock_ms, read_at = self._worker_clock
-        until = min(
-            (
-                self._authorized_until(run)
-                for run in self._runs.values()
-                if run.on_worker
-            ),
-            default=now + self._lease_s,
-        )
-        lease_s = max(0.0, min(self._lease_s, until - now))
-        end = now + lease_s * CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_MARGIN_S
-        self._lease_expires_at = max(self._lease_expires_at, end)
-        return int(clock_ms + (now - read_at + lease_s) * 1000)
-
-    def start_deadline_ms(self, run, now):
-        """Returns the lease deadline for starting a run, None if it must not start now.
-
-        The run may have ended since :meth:`begin_due_starts` returned it.
-        """
-        if run.state is not RunState.STARTING:
-            return None
-        return self.deadline_ms(now)
-
-    def _authorized_until(self, run):
-        """Returns the time until which a run may continue."""
-        if run.is_orphan:
-            return float("inf")
-        authority = self._authority.until(run.partition, run.owner)
-        return min(authority, run.expires_at, run.confirmed_until)
-
-    @property
-    def should_renew_lease(self):
-        """Whether to renew the lease, which has to lapse once a lapse is pending.
-
-        Runs that are still on the worker keep it until they end.
-        """
-        return self._pending_lapse is None or any(
-            run.on_worker for run in self._runs.values()
-        )
-
     @property
     def availability(self):
         """Whether reconciled and whether accepting; owners must know immediately."""
