Log why a run has lapsed

The line is always written: a lapse is a failure, and routine lines are left out above 300 a second. No decision is changed.

--- a/packages/daemon/banyanwheel_daemon/event_log.py
+++ b/packages/daemon/banyanwheel_daemon/event_log.py
@@ -23,6 +23,7 @@
     "task:stopped",
     "task:superseded",
     "run:doubtful",
+    "run:lapsed",
     "run:unauthorized",
 )
 
--- a/packages/daemon/banyanwheel_daemon/runner.py
+++ b/packages/daemon/banyanwheel_daemon/runner.py
@@ -105,7 +105,7 @@
         self._report_to_all()
         while self._runner.busy and boot_time() < deadline:
             if boot_time() > deadline - STOP_RUNS_AHEAD_S:
-                self._runner.stop_all()
+                self._runner.stop_all(boot_time())
             await asyncio.sleep(TICK_INTERVAL_S)
         await self._unregister()
         self._heartbeats.stop()
--- a/packages/jobs/banyanwheel_jobs/runners/lease.py
+++ b/packages/jobs/banyanwheel_jobs/runners/lease.py
@@ -68,3 +68,23 @@
             return float("inf")
         authority = self._authority.until(run.partition, run.owner)
         return min(authority, run.expires_at, run.confirmed_until)
+
+    def _log_lapse(self, run, now):
+        """Logs what the runner knew as a run lapsed.
+
+        A negative ``authority_ms`` says how long the lease has outlasted the authority.
+        """
+        until = self._authorized_until(run)
+        stop_at = run.stop_requested_at
+        self._event_log(
+            "run:lapsed",
+            task=str(run.order.task),
+            run=run.order.run,
+            owner=run.owner[0] if run.owner else "",
+            found=run.is_orphan,
+            stop_age_ms=None if stop_at is None else round((now - stop_at) * 1000),
+            authority_ms=None if until == float("inf") else round((until - now) * 1000),
+            unanswered_polls=self._unanswered_polls,
+        )
+        reason = "worker-silent" if stop_at is None else "stop-unanswered"
+        self._event_log.count("banyanwheel.lapses", reason)
--- a/packages/jobs/banyanwheel_jobs/runners/overdue.py
+++ b/packages/jobs/banyanwheel_jobs/runners/overdue.py
@@ -24,6 +24,7 @@
         self._refuse_overdue(now)
         for run in list(self._runs.values()):
             if self._has_lapsed(run, now):
+                self._log_lapse(run, now)
                 self._end_locally(run, EndKind.LAPSED, "worker-silent", now)
         self._finish_lapse(now)
         return self.version != before
@@ -59,7 +60,7 @@
         running = [run for run in self._runs.values() if run.on_worker]
         if running and now - self._pending_lapse.since > LAPSE_DRAIN_S:
             for run in running:
-                run.stop_requested = True
+                run.request_stop(now)
         if running or now < self._lease_expires_at + LEASE_EXPIRY_MARGIN_S:
             return
         for key in self._pending_lapse.keys:
--- a/packages/jobs/banyanwheel_jobs/runners/runner.py
+++ b/packages/jobs/banyanwheel_jobs/runners/runner.py
@@ -343,7 +343,7 @@
         self.stopping = True
         self._refuse_waiting("runner-stopping")
 
-    def stop_all(self):
+    def stop_all(self, now):
         """Requests the stop of all runs; owners learn of it from the ends."""
         for run in self._runs.values():
-            run.stop_requested = True
+            run.request_stop(now)
--- a/packages/jobs/banyanwheel_jobs/runners/runs.py
+++ b/packages/jobs/banyanwheel_jobs/runners/runs.py
@@ -52,7 +52,7 @@
     expires_at: float = float("inf")
     confirmed_until: float = float("inf")
     resolving_fence: int = 0
-    stop_requested: bool = False
+    stop_requested_at: float | None = None
 
     def transition(self, event):
         """Moves to the state that the chart gives for ``event``."""
@@ -63,6 +63,11 @@
         """The task and the number of the run."""
         return self.order.task, self.order.run
 
+    @property
+    def stop_requested(self):
+        """Whether the run has to be stopped, and not for want of authority."""
+        return self.stop_requested_at is not None
+
     @property
     def percent_age_ms(self):
         """How long the run had been running when its percentage was read."""
@@ -73,6 +78,11 @@
         """Whether the run uses, or may use, resources on the worker."""
         return self.state in STATES_ON_WORKER
 
+    def request_stop(self, now):
+        """Has the run stopped, unless that was requested before."""
+        if self.stop_requested_at is None:
+            self.stop_requested_at = now
+
 
 @dataclass(slots=True)
 class UnacknowledgedEnd:
--- a/packages/jobs/banyanwheel_jobs/runners/worker_reconciliation.py
+++ b/packages/jobs/banyanwheel_jobs/runners/worker_reconciliation.py
@@ -81,6 +81,8 @@
             kind=ended.kind,
             run_ms=run_ms,
         )
+        if run and kind is EndKind.LAPSED:
+            self._log_lapse(run, now)
         if run and kind is EndKind.DONE:
             self._update_slowness(run, run_ms)
 
