--- a/tests/jobs/runners/test_lease.py
+++ b/tests/jobs/runners/test_lease.py
@@ -1,21 +1,35 @@
 """How long the runs on a worker may go on."""
 
-from ..world import World
+import pytest
+
+from banyanwheel_jobs.messages import Assignment, StartTasks
+from banyanwheel_jobs.model import TRANSIENT_PARTITION, TaskId
+
+from ..world import TASK, World
 
 JOB = "a" * 16
+STEP_S = 0.05
+# Callers submit a transient job again this long after their connection broke.
+RESUBMISSION_S = 1.3
 
 
 def running_world(run_s=20.0):
-    """Returns a world of two runners, at the first of which two tasks run."""
-    world = World(owners=1, runners=2, run_s=run_s)
+    """Returns a world in which a transient job of owner-0 runs."""
+    world = World(owners=2, runners=2, run_s=run_s)
     for _ in range(20):
         world.step()
     world.submit("owner-0", JOB, tasks=2, deadline_s=60.0)
     for _ in range(4):
         world.step()
+    assert len(world.starts) == 2
     return world
 
 
+def pass_time(world, seconds):
+    for _ in range(round(seconds / STEP_S)):
+        world.step()
+
+
 def lapses(world):
     return [fields for event, fields in world.event_log.events if event == "run:lapsed"]
 
@@ -24,9 +38,92 @@
     world = running_world()
     for worker in world.workers.values():
         worker.unresponsive = True
-    for _ in range(40):
-        world.step()
+    pass_time(world, 2.0)
     fields = lapses(world)[0]
     assert fields["task"].startswith(JOB)
     assert (fields["stop_age_ms"], fields["found"]) == (None, False)
     assert fields["unanswered_polls"] > 0
+
+
+# Guards against two runs of a task at once: the lease of a run that had to stop was
+# renewed while its stops went unanswered, and its caller submitted the job again.
+@pytest.mark.parametrize("offset_steps", range(4))
+def test_a_run_whose_stops_are_lost_is_over_before_its_caller_comes_back(offset_steps):
+    world = running_world()
+    pass_time(world, offset_steps * STEP_S)
+    world.lost_stops.update(world.runners)
+    world.leave("owner-0", JOB)
+    pass_time(world, RESUBMISSION_S)
+    assert not any(worker.running for worker in world.workers.values())
+    world.submit("owner-1", JOB, tasks=2, deadline_s=60.0)
+    pass_time(world, 3.0)
+    assert world.faults == []
+    assert {fields["stop_age_ms"] is None for fields in lapses(world)} == {False}
+
+
+# Guards against two runs of a task at once: a process that took over from a killed one
+# renewed the worker's lease while the stops of what it had found went unanswered.
+def test_a_run_found_by_a_new_process_is_over_before_its_task_is_placed_again():
+    world = running_world()
+    world.lost_stops.update(world.runners)
+    for name in list(world.runners):
+        world.start_runner(name)
+    pass_time(world, RESUBMISSION_S)
+    assert not any(worker.running for worker in world.workers.values())
+    pass_time(world, 3.0)
+    assert world.faults == []
+    assert all(runner.reconciled for runner in world.runners.values())
+
+
+def order_from_a_frozen_owner(world, frozen_s):
+    """Has runner-0 start a task of owner-0, which has stood still for a while."""
+    for _ in range(round(frozen_s / STEP_S)):
+        world.step(frozen={"owner-0"})
+    runner = world.runners["runner-0"]
+    message = StartTasks(
+        partition=TRANSIENT_PARTITION,
+        epoch=0,
+        worker=runner.worker.incarnation,
+        spec="text",
+        urgency=0.0,
+        valid_until_ms=round(world.now * 1000) + 350,
+        expires_at_ms=0,
+        assignments=(Assignment(TaskId(JOB, 0, 0, 0), 1, TASK, 120),),
+    )
+    origin = ("owner-0", world.incarnation("owner-0"))
+    runner.handle_start(origin, message, world.now)
+    world.exchange_with_worker("runner-0")
+
+
+def latest_end(world):
+    """Returns when the last run of the job has ended, while owner-0 stands still."""
+    for _ in range(round(RESUBMISSION_S / STEP_S)):
+        if not any(task.job == JOB for task, _ in world.workers["runner-0"].running):
+            return world.now
+        world.step(frozen={"owner-0"})
+    return float("inf")
+
+
+# Guards against two runs of a task at once: a run was started under a lease that had
+# been renewed for longer than its own dispatcher's authority.
+def test_a_run_started_under_a_longer_lease_is_over_with_its_authority():
+    world = World(owners=2, runners=1, run_s=20.0)
+    pass_time(world, 1.0)
+    world.submit("owner-1", "b" * 16, tasks=1, deadline_s=60.0)
+    pass_time(world, 0.2)
+    world.lost_stops.update(world.runners)
+    frozen_at = world.now
+    order_from_a_frozen_owner(world, 0.4)
+    assert latest_end(world) < frozen_at + RESUBMISSION_S
+
+
+# Guards against two runs of a task at once: the lease was reckoned from a reading of
+# the worker's clock that was as old as the worker had been idle.
+def test_a_slow_clock_of_an_idle_worker_makes_no_lease_longer():
+    world = World(owners=1, runners=1, run_s=20.0)
+    world.workers["runner-0"].clock_rate = 0.98
+    pass_time(world, 40.0)
+    world.lost_stops.update(world.runners)
+    frozen_at = world.now
+    order_from_a_frozen_owner(world, 0.4)
+    assert latest_end(world) < frozen_at + RESUBMISSION_S
--- a/tests/jobs/runners/worker_model.py
+++ b/tests/jobs/runners/worker_model.py
@@ -26,6 +26,7 @@
     incarnation_number: int = 0
     began_at: float = 0.0
     born_offset_ms: int = 0  # how far its wall clock is ahead of the world's
+    clock_rate: float = 1.0  # of its steady clock
     lease_expires_at: float = 0.0
     fence: int = 0
     running: dict = field(default_factory=dict)  # end time by (task, run)
@@ -46,7 +47,7 @@
 
     @property
     def clock_ms(self):
-        return round((self.world.now - self.began_at) * 1000) + 1
+        return round((self.world.now - self.began_at) * 1000 * self.clock_rate) + 1
 
     @property
     def born_ms(self):
@@ -146,9 +147,9 @@
     def _extend_lease(self, deadline_ms):
         if deadline_ms is None:
             return
-        latest = self.world.now + LEASE_S
-        requested = self.world.now + (deadline_ms - self.clock_ms) / 1000
-        self.lease_expires_at = max(self.lease_expires_at, min(latest, requested))
+        lease_s = min(LEASE_S, (deadline_ms - self.clock_ms) / 1000)
+        expires_at = self.world.now + lease_s / self.clock_rate
+        self.lease_expires_at = max(self.lease_expires_at, expires_at)
 
     def crash(self, set_back_s=0.0):
         """Begins a new life; its wall clock may be set back meanwhile."""
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -125,6 +125,7 @@
         self.log = LogModel()
         self.log_unreachable = set()
         self.late_starts = set()  # runners whose starts reach the worker late
+        self.lost_stops = set()  # runners whose stops do not reach the worker
         self.claims = {}
         for number in range(runners):
             name = f"runner-{number}"
@@ -248,7 +249,10 @@
             else:
                 runner.record_start_outcome(run, outcome, self.now)
         for run in runner.begin_due_stops(self.now):
-            worker.stop(run.key, runner.fence)
+            if name in self.lost_stops:
+                runner.record_unanswered_stop(run)
+            else:
+                worker.stop(run.key, runner.fence)
         if runner.needs_polling and runner.should_renew_lease:
             fence, acknowledged = runner.fence, runner.acknowledged
             lists = worker.renew_lease(
@@ -394,6 +398,12 @@
             submission, replies.append, self.now, self.now + deadline_s
         )
 
+    def leave(self, owner, job_id):
+        """Has the caller of a transient job break its connection."""
+        job = self.owners[owner].transient.jobs[job_id]
+        for reply in list(job.on_final):
+            self.owners[owner].remove_transient_caller(job_id, reply)
+
     # Observation of the workers
 
     def record_start(self, worker, key):
