Don't extend the lease of a run that has to stop

Callers saw: tasks of a job that needn't be kept ran twice at once, for up to 1.5 s.

Cause: a caller's connection breaks, its dispatcher has the runs stopped, and the worker leaves the stops unanswered. Nothing but the stop ended such a run: its dispatcher lives, so its authority went on, and the runner renewed the worker's lease for it, each 0.2 s. The caller submits the job again after 1.3 s, and another dispatcher starts it beside the first run.

From its stop on a run may go on for as long as its authority lasts at that moment, and for the length of a lease at most. A heartbeat that arrives later extends neither. Stops that are answered take some ms, so that sound runs on the same worker lose their lease only if a stop fails for a second.

--- a/packages/jobs/banyanwheel_jobs/runners/lease.py
+++ b/packages/jobs/banyanwheel_jobs/runners/lease.py
@@ -69,6 +69,16 @@
         authority = self._authority.until(run.partition, run.owner)
         return min(authority, run.expires_at, run.confirmed_until)
 
+    def _request_stop(self, run, now):
+        """Has a run stopped, at the latest by the lapse of the lease.
+
+        From now on nothing extends the run's time: its stop may go unanswered, and its
+        caller may submit the job again elsewhere.
+        """
+        if not run.stop_requested:
+            run.stop_requested_at = now
+            run.expires_at = min(self._authorized_until(run), now + self._lease_s)
+
     def _log_lapse(self, run, now):
         """Logs what the runner knew as a run lapsed.
 
--- a/packages/jobs/banyanwheel_jobs/runners/overdue.py
+++ b/packages/jobs/banyanwheel_jobs/runners/overdue.py
@@ -60,7 +60,7 @@
         running = [run for run in self._runs.values() if run.on_worker]
         if running and now - self._pending_lapse.since > LAPSE_DRAIN_S:
             for run in running:
-                run.request_stop(now)
+                self._request_stop(run, now)
         if running or now < self._lease_expires_at + LEASE_EXPIRY_MARGIN_S:
             return
         for key in self._pending_lapse.keys:
--- a/packages/jobs/banyanwheel_jobs/runners/owner_messages.py
+++ b/packages/jobs/banyanwheel_jobs/runners/owner_messages.py
@@ -115,7 +115,7 @@
             elif run.state is RunState.WAITING:
                 self._end_locally(run, EndKind.STOPPED, "stopped", now)
             else:
-                run.request_stop(now)
+                self._request_stop(run, now)
 
     def handle_end_acknowledgements(self, message, now):
         """Forgets ends that their owner has stored.
--- a/packages/jobs/banyanwheel_jobs/runners/runner.py
+++ b/packages/jobs/banyanwheel_jobs/runners/runner.py
@@ -346,4 +346,4 @@
     def stop_all(self, now):
         """Requests the stop of all runs; owners learn of it from the ends."""
         for run in self._runs.values():
-            run.request_stop(now)
+            self._request_stop(run, now)
--- a/packages/jobs/banyanwheel_jobs/runners/runs.py
+++ b/packages/jobs/banyanwheel_jobs/runners/runs.py
@@ -78,11 +78,6 @@
         """Whether the run uses, or may use, resources on the worker."""
         return self.state in STATES_ON_WORKER
 
-    def request_stop(self, now):
-        """Has the run stopped, unless that was requested before."""
-        if self.stop_requested_at is None:
-            self.stop_requested_at = now
-
 
 @dataclass(slots=True)
 class UnacknowledgedEnd:
