A runner renews no lease before it knows all runs, nor for runs that it finds

Callers would see: a task runs twice at once after its runner was killed.

Cause: a new process of a runner renewed its worker's lease with its first poll, before it knew what runs there, and then for what it had found, without any limit, as long as the stops of these runs went unanswered. The dispatchers place the tasks elsewhere 1.2 s after the last report of the process before, or their callers come back after 1.3 s; both rest on a lease that ends with the authority of that process.

Now the lease isn't renewed before the lists have shown all runs, and a run without an owner extends it by nothing. The new process takes the lease for expired only once one that was renewed right before its start has expired.

Evidence: the test failed on: the run was still there 1.3 s after the restart.

--- a/packages/jobs/banyanwheel_jobs/runners/lease.py
+++ b/packages/jobs/banyanwheel_jobs/runners/lease.py
@@ -33,11 +33,11 @@
     def deadline_ms(self, now):
         """Returns a new lease deadline in ms of the worker's clock, and records it.
 
-        It is no later than the end of the authority for any run on the worker. For an
-        unresponsive worker it is None: unanswered polls could extend the lease forever,
-        so it is left to lapse.
+        It is no later than the end of the authority for any run on the worker, and None
+        before all of them are known. For an unresponsive worker it is None too:
+        unanswered polls could extend the lease forever, so it is left to lapse.
         """
-        if self._is_unresponsive(now):
+        if not self.reconciled or self._is_unresponsive(now):
             return None
         clock_ms, read_at = self._worker_clock
         until = min(
@@ -49,10 +49,15 @@
             default=now + self._lease_s,
         )
         lease_s = max(0.0, min(self._lease_s, until - now))
-        end = now + lease_s * CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_MARGIN_S
-        self._lease_expires_at = max(self._lease_expires_at, end)
+        self._lease_expires_at = max(
+            self._lease_expires_at, self._lease_end(now, lease_s)
+        )
         return int(clock_ms + (now - read_at + lease_s) * 1000)
 
+    def _lease_end(self, now, lease_s):
+        """Returns the latest time at which a lease given now expires."""
+        return now + lease_s * CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_MARGIN_S
+
     def start_deadline_ms(self, run, now):
         """Returns the lease deadline for starting a run, None if it must not start now.
 
@@ -64,8 +69,6 @@
 
     def _authorized_until(self, run):
         """Returns the time until which a run may continue."""
-        if run.is_orphan:
-            return float("inf")
         authority = self._authority.until(run.partition, run.owner)
         return min(authority, run.expires_at, run.confirmed_until)
 
@@ -84,7 +87,7 @@
 
         A negative ``authority_ms`` says how long the lease has outlasted the authority.
         """
-        until = self._authorized_until(run)
+        authority_ms = round((self._authorized_until(run) - now) * 1000)
         stop_at = run.stop_requested_at
         self._event_log(
             "run:lapsed",
@@ -93,7 +96,7 @@
             owner=run.owner[0] if run.owner else "",
             found=run.is_orphan,
             stop_age_ms=None if stop_at is None else round((now - stop_at) * 1000),
-            authority_ms=None if until == float("inf") else round((until - now) * 1000),
+            authority_ms=None if run.is_orphan else authority_ms,
             unanswered_polls=self._unanswered_polls,
         )
         reason = "worker-silent" if stop_at is None else "stop-unanswered"
--- a/packages/jobs/banyanwheel_jobs/runners/runner.py
+++ b/packages/jobs/banyanwheel_jobs/runners/runner.py
@@ -145,6 +145,7 @@
 
     def _begin_incarnation(self, heartbeat, now):
         self._event_log("worker:new", incarnation=heartbeat.incarnation)
+        first = self._worker_heartbeat is None
         for run in list(self._runs.values()):
             self._end_locally(run, EndKind.LAPSED, "worker-restarted", now)
         for entry in self._ends.values():
@@ -154,7 +155,8 @@
         self._cursor = AckCursor()
         self._acknowledged_at_worker = 0
         self._pending_lapse = None
-        self._lease_expires_at = 0.0
+        # An earlier process of this runner may have renewed the lease until now.
+        self._lease_expires_at = self._lease_end(now, self._lease_s) if first else 0.0
         self._reset_unanswered_polls()
         self._fence_step_ms = FENCE_STEP_MS
         self._last_seen_at = now
--- a/packages/jobs/banyanwheel_jobs/runners/worker_reconciliation.py
+++ b/packages/jobs/banyanwheel_jobs/runners/worker_reconciliation.py
@@ -119,6 +119,8 @@
             assignment, partition, -1, owner, "", now, now, RunState.RUNNING
         )
         run.is_orphan = True
+        # Nobody here may run it, so nothing extends the lease that it has.
+        run.expires_at = now
         self._runs[run.key] = run
         self._event_log("run:found", task=str(running.task), run=running.run)
         return run
