Reckon a worker's lease from the least that its clock may show

Callers would see: a task runs twice at once after a worker has been idle.

Cause: a deadline on the worker's clock was reckoned from its newest reading as if the clock kept time, though it may be 2% slow. A reading is as old as the worker has been idle: after 40 s the lease of its next run was up to 0.8 s longer than that run's authority, and the runner also took it for expired too early.

Now the time since the reading counts 2% less. On a clock that keeps time the first lease after an idle minute may be too short to start with; the answer brings a new reading, and the start is repeated.

--- a/packages/jobs/banyanwheel_jobs/runners/lease.py
+++ b/packages/jobs/banyanwheel_jobs/runners/lease.py
@@ -30,6 +30,14 @@
         if clock_ms >= self._worker_clock[0]:
             self._worker_clock = (clock_ms, now)
 
+    def _least_clock_ms(self, now):
+        """Returns the least that the worker's clock may show, in ms.
+
+        It may be slow, so that a reading says less the older it is.
+        """
+        clock_ms, read_at = self._worker_clock
+        return clock_ms + (now - read_at) * 1000 * (2 - CLOCK_DRIFT_FACTOR)
+
     def deadline_ms(self, now):
         """Returns a new lease deadline in ms of the worker's clock, and records it.
 
@@ -39,7 +47,6 @@
         """
         if not self.reconciled or self._is_unresponsive(now):
             return None
-        clock_ms, read_at = self._worker_clock
         until = min(
             (
                 self._authorized_until(run)
@@ -52,7 +59,7 @@
         self._lease_expires_at = max(
             self._lease_expires_at, self._lease_end(now, lease_s)
         )
-        return int(clock_ms + (now - read_at + lease_s) * 1000)
+        return int(self._least_clock_ms(now) + lease_s * 1000)
 
     def _lease_end(self, now, lease_s):
         """Returns the latest time at which a lease given now expires."""
--- a/tests/jobs/runners/test_lease.py
+++ b/tests/jobs/runners/test_lease.py
@@ -123,6 +123,7 @@
 # the worker's clock that was as old as the worker had been idle.
 def test_a_slow_clock_of_an_idle_worker_makes_no_lease_longer():
     world = World(owners=1, runners=1, run_s=20.0)
+    world.workers["runner-0"].crash()
     world.workers["runner-0"].clock_rate = 0.98
     pass_time(world, 40.0)
     world.lost_stops.update(world.runners)
