Start a run only if its authority covers the lease in force

Callers would see: a task runs twice at once after its dispatcher was killed while a worker leaves stops unanswered.

Cause: a worker has one lease, which can't be made shorter. It had been renewed up to 1 s ahead, for runs of other dispatchers or for none; a run of a dispatcher whose authority ended in 0.5 s was started under it all the same. If then its stops failed, it went on for up to 0.5 s after its authority had ended, when its caller was back and its task placed elsewhere.

A run now waits until its authority is as long as the lease in force. So that this hardly ever delays a start, leases are 0.9 s long at most, and an assignment carries the newest stamp that its dispatcher has received, as a heartbeat does: a dispatcher's authority for a runner without news was up to 0.4 s old. A caller's deadline needn't cover the lease, since it comes back 1.3 s after it.

--- a/packages/jobs/banyanwheel_jobs/messages.py
+++ b/packages/jobs/banyanwheel_jobs/messages.py
@@ -158,7 +158,7 @@
     Times are in ms of the runner's clock: after ``valid_until_ms`` the runner refuses
     the message, and at ``expires_at_ms`` it stops the runs; 0 for never.
     ``confirmed_ms`` is the stamp of a forwarded job as in :class:`Heartbeat`, and
-    ``NOT_FORWARDED`` for other jobs.
+    ``NOT_FORWARDED`` for other jobs. ``newest_report_ms`` is as there too.
     """
 
     partition: int
@@ -170,6 +170,7 @@
     expires_at_ms: int
     assignments: tuple[Assignment, ...]
     confirmed_ms: int = NOT_FORWARDED
+    newest_report_ms: int = 0
 
 
 class StopTasks(_Message):
--- a/packages/jobs/banyanwheel_jobs/owners/dispatching.py
+++ b/packages/jobs/banyanwheel_jobs/owners/dispatching.py
@@ -181,6 +181,7 @@
             view.trust.stamp_at(job.expires_at) if job.expires_at else 0,
             assignments,
             confirmed,
+            view.trust.newest,
         )
 
 
--- a/packages/jobs/banyanwheel_jobs/runners/lease.py
+++ b/packages/jobs/banyanwheel_jobs/runners/lease.py
@@ -7,9 +7,13 @@
 from ..authority import CLOCK_DRIFT_FACTOR
 from .runs import RunState
 
-__all__ = ["LEASE_EXPIRY_MARGIN_S", "Lease"]
+__all__ = ["LEASE_EXPIRY_MARGIN_S", "MAX_LEASE_S", "MIN_RUN_S", "Lease"]
 
 LEASE_EXPIRY_MARGIN_S = 0.15
+# A run starts only if its authority covers the lease in force, which can't be undone.
+# Assignments come with an authority that is 0.2 s old at most, so they nearly all do.
+MAX_LEASE_S = 0.9
+MIN_RUN_S = 0.5  # a run with less time left is not started
 
 
 class Lease:
@@ -56,6 +60,7 @@
             default=now + self._lease_s,
         )
         lease_s = max(0.0, min(self._lease_s, until - now))
+        self._lease_until = max(self._lease_until, now + lease_s)
         self._lease_expires_at = max(
             self._lease_expires_at, self._lease_end(now, lease_s)
         )
@@ -74,10 +79,24 @@
             return None
         return self.deadline_ms(now)
 
+    def _has_time_to_start(self, run, now):
+        """Returns whether a run may go on for long enough to be started.
+
+        Its authority has to cover the lease in force. Its caller's deadline need not:
+        a caller that submits the job again afterwards does so later than a lease lasts.
+        """
+        return (
+            self._authorized_until(run) >= now + MIN_RUN_S
+            and self._authority_until(run) >= self._lease_until
+        )
+
     def _authorized_until(self, run):
         """Returns the time until which a run may continue."""
+        return min(self._authority_until(run), run.expires_at)
+
+    def _authority_until(self, run):
         authority = self._authority.until(run.partition, run.owner)
-        return min(authority, run.expires_at, run.confirmed_until)
+        return min(authority, run.confirmed_until)
 
     def _request_stop(self, run, now):
         """Has a run stopped, at the latest by the lapse of the lease.
--- a/packages/jobs/banyanwheel_jobs/runners/owner_messages.py
+++ b/packages/jobs/banyanwheel_jobs/runners/owner_messages.py
@@ -49,6 +49,9 @@
 
         A refused assignment is new too: the refusal is reported as its end.
         """
+        if message.newest_report_ms:
+            seen_at = message.newest_report_ms / 1000
+            self._authority.accept_claims(owner, (), None, seen_at)
         refusal = self._refusal_reason(owner, message, now)
         any_new = False
         for assignment in message.assignments:
--- a/packages/jobs/banyanwheel_jobs/runners/runner.py
+++ b/packages/jobs/banyanwheel_jobs/runners/runner.py
@@ -11,7 +11,7 @@
 from ..model import TRANSIENT_PARTITION, EndKind, Resources
 from ..ports import StartOutcome
 from .ack_cursor import AckCursor
-from .lease import Lease
+from .lease import MAX_LEASE_S, Lease
 from .overdue import Overdue
 from .owner_messages import OwnerMessages
 from .runs import RunState, resources_used
@@ -36,7 +36,7 @@
 
     def __init__(self, partitions, lease_s, event_log):
         self._partitions = partitions
-        self._lease_s = lease_s
+        self._lease_s = min(lease_s, MAX_LEASE_S)
         self._event_log = event_log
         self._authority = Authority()
         self._worker_heartbeat = None  # the newest, or None
@@ -52,6 +52,7 @@
         self._acknowledged_at_worker = 0
         self._pending_lapse = None
         self._slowness = 0.0
+        self._lease_until = 0.0  # the latest that the worker was given
         self._lease_expires_at = 0.0  # the latest possible time
         self._unanswered_since = None  # when the first unanswered poll was sent
         self._unanswered_polls = 0  # in a row
@@ -156,6 +157,7 @@
         self._acknowledged_at_worker = 0
         self._pending_lapse = None
         # An earlier process of this runner may have renewed the lease until now.
+        self._lease_until = now + self._lease_s if first else 0.0
         self._lease_expires_at = self._lease_end(now, self._lease_s) if first else 0.0
         self._reset_unanswered_polls()
         self._fence_step_ms = FENCE_STEP_MS
@@ -282,7 +284,7 @@
         due = []
         waiting = [run for run in self._runs.values() if run.state is RunState.WAITING]
         for run in sorted(waiting, key=lambda run: run.due_at):
-            if self._authorized_until(run) < now + 2 * STOP_MARGIN_S:
+            if not self._has_time_to_start(run, now):
                 continue
             if run.order.resources.fits(free):
                 free = free - run.order.resources
--- a/tests/jobs/runners/test_lease.py
+++ b/tests/jobs/runners/test_lease.py
@@ -97,6 +97,14 @@
     world.exchange_with_worker("runner-0")
 
 
+def test_a_job_close_to_its_deadline_starts_beside_others():
+    """Its authority has to cover the lease in force, its deadline need not."""
+    world = running_world()
+    world.submit("owner-1", "b" * 16, tasks=2, deadline_s=0.8)
+    pass_time(world, 0.1)
+    assert len(world.starts) == 4
+
+
 def latest_end(world):
     """Returns when the last run of the job has ended, while owner-0 stands still."""
     for _ in range(round(RESUBMISSION_S / STEP_S)):
