--- a/tests/jobs/runners/test_lease.py
+++ b/tests/jobs/runners/test_lease.py
@@ -63,12 +63,15 @@
 
 # Guards against two runs of a task at once: a process that took over from a killed one
 # renewed the worker's lease while the stops of what it had found went unanswered.
-def test_a_run_found_by_a_new_process_is_over_before_its_task_is_placed_again():
+@pytest.mark.parametrize("down_s", [0.0, 0.4, 0.8])
+def test_a_run_found_by_a_new_process_is_over_before_its_task_is_placed_again(down_s):
     world = running_world()
     world.lost_stops.update(world.runners)
+    for _ in range(round(down_s / STEP_S)):
+        world.step(frozen=set(world.runners))
     for name in list(world.runners):
         world.start_runner(name)
-    pass_time(world, RESUBMISSION_S)
+    pass_time(world, RESUBMISSION_S - down_s)
     assert not any(
         run == 1 for worker in world.workers.values() for _, run in worker.running
     )
@@ -116,14 +119,15 @@
 
 # Guards against two runs of a task at once: a run was started under a lease that had
 # been renewed for longer than its own dispatcher's authority.
-def test_a_run_started_under_a_longer_lease_is_over_with_its_authority():
+@pytest.mark.parametrize("frozen_s", [0.4, 0.5])
+def test_a_run_started_under_a_longer_lease_is_over_with_its_authority(frozen_s):
     world = World(owners=2, runners=1, run_s=20.0)
     pass_time(world, 1.0)
     world.submit("owner-1", "b" * 16, tasks=1, deadline_s=60.0)
     pass_time(world, 0.2)
     world.lost_stops.update(world.runners)
     frozen_at = world.now
-    order_from_a_frozen_owner(world, 0.4)
+    order_from_a_frozen_owner(world, frozen_s)
     assert latest_end(world) < frozen_at + RESUBMISSION_S
 
 
--- a/tests/jobs/test_mechanisms.py
+++ b/tests/jobs/test_mechanisms.py
@@ -10,19 +10,21 @@
 from banyanwheel_jobs.owners import owner
 from banyanwheel_jobs.owners.journal import Journal
 from banyanwheel_jobs.owners.partition import Partition
+from banyanwheel_jobs.runners.lease import Lease
 from banyanwheel_jobs.runners.owner_messages import OwnerMessages
 from banyanwheel_jobs.runners.runner import Runner
 from banyanwheel_jobs.runners.worker_reconciliation import WorkerReconciliation
 
 from .cells import test_forwarding
 from .owners import test_stored, test_transient
-from .runners import test_runner
+from .runners import test_lease, test_runner
 
 _refusal_reason = OwnerMessages._refusal_reason
 _original_add = Journal.add
 _handle_end_acknowledgements = OwnerMessages.handle_end_acknowledgements
 _open = Partition.open
 _handle_run = HostedJobs.handle_run
+_deadline_ms = Lease.deadline_ms
 
 
 def _without_refusal(reason):
@@ -53,6 +55,22 @@
     return round(clock_ms + (now - read_at + self._lease_s) * 1000)
 
 
+def _record_stop_request(self, run, now):
+    run.stop_requested_at = now
+
+
+def _deadline_ms_of_unknown_runs(self, now):
+    known, self.reconciled = self.reconciled, True
+    deadline_ms = _deadline_ms(self, now)
+    self.reconciled = known
+    return deadline_ms
+
+
+def _clock_ms_without_drift(self, now):
+    clock_ms, read_at = self._worker_clock
+    return clock_ms + (now - read_at) * 1000
+
+
 def _handle_expired_run(self, entry, message, now):
     _handle_run(self, entry, msgspec.structs.replace(message, valid_until_ms=1e12), now)
 
@@ -97,12 +115,34 @@
         test_runner.test_a_start_to_an_unresponsive_worker_returns_to_waiting,
     ),
     "no lease outlasts the authority": (
-        patch.object(Runner, "deadline_ms", _unbounded_deadline_ms),
+        patch.object(Lease, "deadline_ms", _unbounded_deadline_ms),
         lambda: 0.4,
         test_transient.test_a_runner_that_is_cut_off_and_freezes_runs_nothing_twice,
     ),
+    "nothing extends the time of a run that has to stop": (
+        patch.object(Lease, "_request_stop", _record_stop_request),
+        lambda: 0,
+        test_lease.test_a_run_whose_stops_are_lost_is_over_before_its_caller_comes_back,
+    ),
+    "no lease is renewed before all runs are known": (
+        patch.object(Lease, "deadline_ms", _deadline_ms_of_unknown_runs),
+        lambda: 0.8,
+        test_lease.test_a_run_found_by_a_new_process_is_over_before_its_task_is_placed_again,
+    ),
+    "the authority covers the lease in force": (
+        patch.object(Lease, "_has_time_to_start", lambda self, run, now: True),
+        lambda: 0.5,
+        test_lease.test_a_run_started_under_a_longer_lease_is_over_with_its_authority,
+    ),
+    "an old reading of the worker's clock counts less": (
+        patch.object(Lease, "_least_clock_ms", _clock_ms_without_drift),
+        lambda: None,
+        lambda _: (
+            test_lease.test_a_slow_clock_of_an_idle_worker_makes_no_lease_longer()
+        ),
+    ),
     "authority ends": (
-        patch.object(Runner, "_authorized_until", lambda self, run: float("inf")),
+        patch.object(Lease, "_authorized_until", lambda self, run: float("inf")),
         test_stored.owned_world,
         test_stored.test_a_former_owner_and_its_runner_cut_off_run_nothing_twice,
     ),
