--- a/tests/jobs/test_state_machine.py
+++ b/tests/jobs/test_state_machine.py
@@ -26,10 +26,14 @@
     "restart",
     "unresponsive",
     "late-start",
+    "lost-stop",
+    "caller",
     "reassign",
     "log",
 )
 MAX_KINDS = 3
+# Callers submit a transient job again this long after their connection broke.
+RESUBMISSION_S = 1.3
 MAX_OPEN_JOBS = 6  # leaves capacity for tasks that are run again
 WAITS = st.sampled_from([0.05, 0.3, 0.5, 1.0, 3.0])
 
@@ -174,6 +178,33 @@
         self.world.late_starts.clear()
         self.submit_and_wait(wait)
 
+    @when("lost-stop")
+    @rule(name=st.sampled_from(RUNNERS), wait=WAITS)
+    def lose_stops(self, name, wait):
+        self.world.lost_stops.add(name)
+        self.submit_and_wait(wait)
+
+    @when("lost-stop")
+    @rule(wait=WAITS)
+    def stops_arrive(self, wait):
+        self.world.lost_stops.clear()
+        self.submit_and_wait(wait)
+
+    @when("caller")
+    @precondition(lambda self: not self.frozen)
+    @rule(owner=st.sampled_from(OWNERS), wait=WAITS)
+    def leave_and_come_back(self, owner, wait):
+        """The caller of an open transient job submits it again at the other owner."""
+        open_jobs = list(self.world.owners[owner].transient.jobs.values())
+        if not open_jobs:
+            return
+        submission = open_jobs[0].submission
+        self.world.leave(owner, submission.job_id)
+        self.pass_time(RESUBMISSION_S)
+        other = next(name for name in OWNERS if name != owner)
+        self.world.resubmit(other, submission)
+        self.submit_and_wait(wait)
+
     @when("restart")
     @precondition(lambda self: not self.frozen)
     @rule(name=st.sampled_from(OWNERS), wait=WAITS)
@@ -208,6 +239,7 @@
         self.frozen.clear()
         self.world.log_unreachable.clear()
         self.world.late_starts.clear()
+        self.world.lost_stops.clear()
 
     @rule(wait=WAITS)
     def recover_all(self, wait):
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -392,8 +392,12 @@
             round(self.now * 1000),
             transient=True,
         )
-        self.transient.add(job_id)
-        replies = self.replies.setdefault(job_id, [])
+        self.resubmit(owner, submission, deadline_s)
+
+    def resubmit(self, owner, submission, deadline_s=5.0):
+        """Submits a transient job as its caller does, the first time or again."""
+        self.transient.add(submission.job_id)
+        replies = self.replies.setdefault(submission.job_id, [])
         self.owners[owner].run_transient(
             submission, replies.append, self.now, self.now + deadline_s
         )
