Don't send an assignment again whose job is over

Callers would see: a task runs twice at once after a connection between a dispatcher and a runner was replaced.

Cause: an assignment that no report shows is sent again after 0.3 s, with a new end of validity, also if its caller has left meanwhile. If the stop was lost with the same connection, the run began 0.3 s after its caller had left, and ended only after the next report and stop; the caller came back 1.3 s after it left.

For a run that isn't wanted any more its stop is sent instead, which makes the runner refuse late copies, and the assignment is dropped once it can't start any more.

--- a/packages/jobs/banyanwheel_jobs/owners/supervision.py
+++ b/packages/jobs/banyanwheel_jobs/owners/supervision.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ..messages import StopTasks, TaskRun
 from ..records import Progress, encode, job_key, progress_key
 from .dispatching import ASSIGNMENT_VALID_S
 
@@ -25,15 +26,38 @@
         """Resends unreported assignments with a new expiry to a responsive runner."""
         if not view.outstanding or now - view.heard_at > RESEND_S:
             return
-        for sent in view.outstanding.values():
-            if now - sent.sent_at > RESEND_S:
-                sent.sent_at = now
-                valid = view.trust.stamp_at(now + ASSIGNMENT_VALID_S)
-                sent.message = msgspec.structs.replace(
-                    sent.message, valid_until_ms=valid
-                )
-                self._event_log.count("banyanwheel.retries", "order-unseen")
-                self._send(view.name, sent.message)
+        for key, sent in list(view.outstanding.items()):
+            if now - sent.sent_at <= RESEND_S:
+                continue
+            if not self._is_wanted(view, sent.message.partition, key):
+                self._withdraw(view, key, sent, now)
+                continue
+            sent.sent_at = now
+            valid = view.trust.stamp_at(now + ASSIGNMENT_VALID_S)
+            sent.message = msgspec.structs.replace(sent.message, valid_until_ms=valid)
+            self._event_log.count("banyanwheel.retries", "order-unseen")
+            self._send(view.name, sent.message)
+
+    def _is_wanted(self, view, partition_number, key):
+        """Returns whether a run that no report has shown still has to take place."""
+        task_id, run = key
+        _, job, task = self.find(partition_number, task_id)
+        return (
+            task is not None
+            and job.live
+            and not task.stopping
+            and (task.runner, task.run) == (view.name, run)
+        )
+
+    def _withdraw(self, view, key, sent, now):
+        """Stops a run that no report has shown; its stop may have been lost as well."""
+        if self._partition(sent.message.partition) is not None:
+            stop = StopTasks(
+                sent.message.partition, sent.message.epoch, (TaskRun(*key),)
+            )
+            self._send(view.name, stop)
+        if now - sent.sent_at > ASSIGNMENT_VALID_S:
+            view.drop_assignment(key)
 
     def _release_unlisted(self, now):
         """Releases tasks whose runs their runner has not listed for ``UNLISTED_S``."""
--- a/tests/jobs/owners/test_transient.py
+++ b/tests/jobs/owners/test_transient.py
@@ -87,6 +87,22 @@
     assert replies == []
 
 
+# Guards against a run that begins after its caller has left: an assignment that was
+# lost with a connection was sent again although its job was over.
+def test_an_assignment_of_a_job_that_is_over_is_not_sent_again(world):
+    world.run_s = 20.0
+    world.submit("owner-0", "a" * 16, tasks=1, deadline_s=60.0)
+    world.leave("owner-0", "a" * 16)
+    for runner in world.runners:
+        world.links["owner-0", runner].messages.clear()  # the connection is reset
+    run(world, 2.0)
+    assert world.starts == {}
+    world.submit("owner-0", "a" * 16, tasks=1, deadline_s=60.0)
+    run(world, 0.5)
+    assert len(world.starts) == 1
+    assert world.faults == []
+
+
 def test_a_job_submitted_again_waits_for_the_end_of_its_earlier_runs(world):
     world.run_s = 1.0
     world.submit("owner-0", "a" * 16, tasks=2, deadline_s=0.2)
