A stop neither extends the lease in force nor lets its start be sent again

Callers would see: a task runs twice at once, if a dispatcher notices late that a caller has left, and the stops of the runs go unanswered.

Cause: a stop left a run with a whole lease from its arrival on, so that the lease in force was still extended by up to 0.2 s; with a stop that comes 0.3 s after its caller has left, that is 0.07 s more than there is until it comes back. And a start that its worker rejected, for its fence or deadline, while the stop arrived was put back and sent again.

The run now gets no more than the lease in force, or the 0.6 s that several attempts to stop it take. A rejected start of a run that has to stop ends it.

The three cases failed before; for the first also with the bound alone taken back.

--- a/packages/jobs/banyanwheel_jobs/runners/lease.py
+++ b/packages/jobs/banyanwheel_jobs/runners/lease.py
@@ -7,12 +7,13 @@
 from ..authority import CLOCK_DRIFT_FACTOR
 from .runs import RunState
 
-__all__ = ["LEASE_EXPIRY_MARGIN_S", "MAX_LEASE_S", "MIN_RUN_S", "Lease"]
+__all__ = ["LEASE_EXPIRY_MARGIN_S", "MAX_LEASE_S", "MIN_RUN_S", "STOP_TIME_S", "Lease"]
 
 LEASE_EXPIRY_MARGIN_S = 0.15
 # A run starts only if its authority covers the lease in force, which can't be undone.
 # Assignments come with an authority that is 0.2 s old at most, so they nearly all do.
 MAX_LEASE_S = 0.9
+STOP_TIME_S = 0.6  # for several attempts to stop a run
 MIN_RUN_S = 0.5  # a run with less time left is not started
 
 
@@ -101,12 +102,14 @@
     def _request_stop(self, run, now):
         """Has a run stopped, at the latest by the lapse of the lease.
 
-        From now on nothing extends the run's time: its stop may go unanswered, and its
-        caller may submit the job again elsewhere.
+        Its stop may go unanswered, and its caller may submit the job again elsewhere.
+        So its time is not extended beyond the lease in force, but for the moment that a
+        stop may take; else stops in a row would let the lease lapse for all runs.
         """
         if not run.stop_requested:
             run.stop_requested_at = now
-            run.expires_at = min(self._authorized_until(run), now + self._lease_s)
+            until = max(self._lease_until, now + STOP_TIME_S)
+            run.expires_at = min(self._authorized_until(run), until)
 
     def _log_lapse(self, run, now):
         """Logs what the runner knew as a run lapsed.
--- a/packages/jobs/banyanwheel_jobs/runners/runner.py
+++ b/packages/jobs/banyanwheel_jobs/runners/runner.py
@@ -301,7 +301,10 @@
                 self._mark_running(run, now)
             case StartOutcome.FENCED | StartOutcome.LATE:
                 self._event_log.count("banyanwheel.retries", f"start-{outcome.value}")
-                run.transition("put-back")
+                if run.stop_requested:
+                    self._end_locally(run, EndKind.STOPPED, "stopped", now)
+                else:
+                    run.transition("put-back")
             case _:
                 self._end_locally(run, EndKind.REFUSED, f"worker-{outcome.value}", now)
 
--- a/tests/jobs/runners/test_lease.py
+++ b/tests/jobs/runners/test_lease.py
@@ -2,8 +2,15 @@
 
 import pytest
 
-from banyanwheel_jobs.messages import Assignment, StartTasks
-from banyanwheel_jobs.model import TRANSIENT_PARTITION, TaskId
+from banyanwheel_jobs.messages import (
+    Assignment,
+    Heartbeat,
+    StartTasks,
+    StopTasks,
+    TaskRun,
+)
+from banyanwheel_jobs.model import TRANSIENT_PARTITION, EndKind, TaskId
+from banyanwheel_jobs.ports import StartOutcome
 
 from ..world import TASK, World
 
@@ -30,6 +37,20 @@
         world.step()
 
 
+def start_message(world):
+    """Returns an assignment for runner-0."""
+    return StartTasks(
+        partition=TRANSIENT_PARTITION,
+        epoch=0,
+        worker=world.runners["runner-0"].worker.incarnation,
+        spec="text",
+        urgency=0.0,
+        valid_until_ms=round(world.now * 1000) + 350,
+        expires_at_ms=0,
+        assignments=(Assignment(TaskId(JOB, 0, 0, 0), 1, TASK, 120),),
+    )
+
+
 def lapses(world):
     return [fields for event, fields in world.event_log.events if event == "run:lapsed"]
 
@@ -61,6 +82,44 @@
     assert {fields["stop_age_ms"] is None for fields in lapses(world)} == {False}
 
 
+# Guards against two runs of a task at once: a stop that arrived late, and wasn't
+# answered either, left the run with a whole lease more.
+def test_a_stop_does_not_extend_the_lease_in_force():
+    world = running_world()
+    world.lost_stops.update(world.runners)
+    name = next(name for name in world.runners if world.workers[name].running)
+    runner, worker = world.runners[name], world.workers[name]
+    for _ in range(4):
+        world.step(frozen=set(world.runners))  # no poll renews the lease
+    runs = tuple(TaskRun(*key) for key in worker.running)
+    origin = ("owner-0", world.incarnation("owner-0"))
+    now_ms = round(world.now * 1000)
+    heartbeat = Heartbeat((), 0, now_ms, world.incarnation(name))
+    runner.handle_dispatcher_heartbeat(origin, heartbeat, world.now)
+    runner.handle_stop(origin, StopTasks(TRANSIENT_PARTITION, 0, runs), world.now)
+    pass_time(world, 0.8)
+    assert not any(run == 1 for _, run in worker.running)
+
+
+# Guards against a run that begins after its stop: the worker rejected a start while the
+# stop arrived, and the start was sent again.
+@pytest.mark.parametrize("outcome", [StartOutcome.FENCED, StartOutcome.LATE])
+def test_a_start_that_was_rejected_after_its_stop_is_not_sent_again(outcome):
+    world = World(owners=1, runners=1, run_s=20.0)
+    pass_time(world, 1.0)
+    runner = world.runners["runner-0"]
+    origin = ("owner-0", world.incarnation("owner-0"))
+    runner.handle_start(origin, start_message(world), world.now)
+    (run,) = runner.begin_due_starts(world.now)
+    runner.handle_stop(
+        origin, StopTasks(TRANSIENT_PARTITION, 0, (TaskRun(*run.key),)), world.now
+    )
+    runner.record_start_outcome(run, outcome, world.now)
+    assert runner.begin_due_starts(world.now) == []
+    (end,) = runner.report(origin, world.now).ends
+    assert end.kind is EndKind.STOPPED
+
+
 # Guards against two runs of a task at once: a process that took over from a killed one
 # renewed the worker's lease while the stops of what it had found went unanswered.
 @pytest.mark.parametrize("down_s", [0.0, 0.4, 0.8])
@@ -85,18 +144,8 @@
     for _ in range(round(frozen_s / STEP_S)):
         world.step(frozen={"owner-0"})
     runner = world.runners["runner-0"]
-    message = StartTasks(
-        partition=TRANSIENT_PARTITION,
-        epoch=0,
-        worker=runner.worker.incarnation,
-        spec="text",
-        urgency=0.0,
-        valid_until_ms=round(world.now * 1000) + 350,
-        expires_at_ms=0,
-        assignments=(Assignment(TaskId(JOB, 0, 0, 0), 1, TASK, 120),),
-    )
     origin = ("owner-0", world.incarnation("owner-0"))
-    runner.handle_start(origin, message, world.now)
+    runner.handle_start(origin, start_message(world), world.now)
     world.exchange_with_worker("runner-0")
 
 
