Repeat the stops of jobs that are over before each heartbeat

Callers would see: a task runs twice at once after a connection between a dispatcher and a runner was replaced.

Cause: a heartbeat extends the runner's authority for all runs of its dispatcher. If a stop was lost with its connection, the first heartbeat over the next one gave the run 1.1 s more, counted from a moment after its caller had left. The stop followed only after the runner's next report.

The stops of transient jobs whose runs aren't over go before each heartbeat, so that no authority arrives without them. A stop takes some ms, so they are hardly ever repeated.

Both tests failed before.

--- a/packages/daemon/banyanwheel_daemon/contacts.py
+++ b/packages/daemon/banyanwheel_daemon/contacts.py
@@ -156,6 +156,11 @@
     def _contact_runners(self, addresses):
         """Sends heartbeats to runners; reopens the connection to a silent one."""
         now = boot_time()
+        for address, stop in self._owner.pending_stops():
+            if address in addresses:
+                self._peers().send(
+                    address, stop, self._owner.views[address].incarnation
+                )
         claims = self._ownership.claims
         confirmed = self._owner.confirmed_stamps()
         for address in addresses:
--- a/packages/jobs/banyanwheel_jobs/owners/transient.py
+++ b/packages/jobs/banyanwheel_jobs/owners/transient.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from ..messages import StopTasks, TaskRun
 from ..model import TRANSIENT_PARTITION, JobState, Submission
 from ..outcomes import RETRY_AFTER_MS, Outcome, Reply
 from ..placing.placement import ON_TIME_TIER, cannot_end_in_time, cannot_finish, rank
@@ -101,6 +102,21 @@
                     stamps.setdefault(runner, []).append((job.id, stamp))
         return stamps
 
+    def pending_stops(self):
+        """Returns (runner, StopTasks) pairs for the runs of jobs that are over.
+
+        They are repeated with each heartbeat, since a heartbeat extends the authority
+        for all runs of this dispatcher, and an earlier stop may have been lost.
+        """
+        by_runner = {}
+        for job in self._transient.closing.values():
+            for task in job.placed():
+                by_runner.setdefault(task.runner, []).append(TaskRun(task.id, task.run))
+        return [
+            (runner, StopTasks(TRANSIENT_PARTITION, 0, tuple(runs)))
+            for runner, runs in by_runner.items()
+        ]
+
     def remove_transient_caller(self, job_id, reply):
         """Drops a caller that has left; without any caller the job is aborted."""
         closing = self._transient.closing.get(job_id)
--- a/tests/daemon/test_contacts.py
+++ b/tests/daemon/test_contacts.py
@@ -11,8 +11,14 @@
 from banyanwheel_daemon.role import DISPATCHER, RUNNER
 from banyanwheel_daemon.settings import Process
 from banyanwheel_jobs.cells.placers import Placers
-from banyanwheel_jobs.messages import Claims, Heartbeat, ServiceOffer
-from banyanwheel_jobs.model import Queue, Resources, Step, Submission
+from banyanwheel_jobs.messages import Claims, Heartbeat, ServiceOffer, StopTasks
+from banyanwheel_jobs.model import (
+    TRANSIENT_PARTITION,
+    Queue,
+    Resources,
+    Step,
+    Submission,
+)
 from tests.jobs.world import EventRecorder, lone_owner
 
 OWN = "10.0.0.1:7000"
@@ -97,6 +103,20 @@
     assert {incarnation for _, _, incarnation in site.sent} == {""}
 
 
+# Guards against two runs of a task at once: a stop was lost with its connection, and
+# the heartbeat over the next one extended the time of a run whose caller had left.
+def test_stops_that_are_not_over_go_before_each_heartbeat(site, monkeypatch):
+    site.contact()
+    view = next(iter(site.owner.views.values()))
+    view.incarnation = "present"
+    stop = StopTasks(TRANSIENT_PARTITION, 0, ())
+    monkeypatch.setattr(site.owner, "pending_stops", lambda: [(view.name, stop)])
+    site.contact()
+    sent = [entry[1:] for entry in site.sent if entry[0] == view.name]
+    assert sent[0] == (stop, "present")
+    assert type(sent[1][0]) is Heartbeat
+
+
 def test_all_runners_are_contacted_while_a_job_needs_one(site, monkeypatch):
     monkeypatch.setattr(site.owner, "needs_all_runners", lambda now: True)
     assert len(site.contact()[1]) == 2 * RUNNERS_PER_DATA_CENTRE
--- a/tests/jobs/owners/test_transient.py
+++ b/tests/jobs/owners/test_transient.py
@@ -103,6 +103,20 @@
     assert world.faults == []
 
 
+def test_the_stops_of_a_job_are_pending_until_its_runs_are_over(world):
+    world.run_s = 20.0
+    world.submit("owner-0", "a" * 16, tasks=2, deadline_s=60.0)
+    run(world, 0.2)
+    world.lost_stops.update(world.runners)
+    world.leave("owner-0", "a" * 16)
+    run(world, 0.4)
+    stops = world.owners["owner-0"].pending_stops()
+    assert {run.task.job for _, stop in stops for run in stop.runs} == {"a" * 16}
+    world.lost_stops.clear()
+    run(world, 0.2)
+    assert world.owners["owner-0"].pending_stops() == []
+
+
 def test_a_job_submitted_again_waits_for_the_end_of_its_earlier_runs(world):
     world.run_s = 1.0
     world.submit("owner-0", "a" * 16, tasks=2, deadline_s=0.2)
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -296,6 +296,8 @@
         self.exchange(frozen)
 
     def send_heartbeats(self, name):
+        for runner, stop in self.owners[name].pending_stops():
+            self._send(name, runner, stop)
         confirmed = self.owners[name].confirmed_stamps()
         for view in self.owners[name].views.values():
             message = Heartbeat(
