Find no run in a worker's list that a newer one has overtaken

Callers would see: sound tasks lapse and are run again.

Cause: lists are read over several connections while a start is in doubt. An older list that is processed after a newer one shows a run that has ended since; it was taken for an unknown one, and since nothing is renewed beside such a run, for as long as its end is listed.

A run whose end the worker has listed, and whose end is still kept here, isn't found again. A late answer to a start no longer sets the clock of the worker's next life either.

--- a/packages/daemon/banyanwheel_daemon/runner.py
+++ b/packages/daemon/banyanwheel_daemon/runner.py
@@ -233,7 +233,8 @@
             self._resolve_doubtful_starts()
             return
         now = boot_time()
-        self._runner.update_worker_clock(clock_ms, now)
+        if client is self._client:
+            self._runner.update_worker_clock(clock_ms, now)
         self.event_log(
             "run:start",
             task=str(order.task),
--- a/packages/jobs/banyanwheel_jobs/runners/worker_reconciliation.py
+++ b/packages/jobs/banyanwheel_jobs/runners/worker_reconciliation.py
@@ -104,6 +104,8 @@
     def _reconcile_run(self, running, now):
         key = (running.task, running.run)
         run = self._runs.get(key)
+        if run is None and self._is_listed_as_ended(key):
+            return  # an older list, which a newer one has overtaken
         if run is None:
             run = self._add_orphan(running, now)
         if run.state in (RunState.STARTING, RunState.DOUBTFUL):
@@ -112,6 +114,10 @@
         run.percent_read_at = now
         run.checkpoint = running.checkpoint
 
+    def _is_listed_as_ended(self, key):
+        entry = self._ends.get(key)
+        return entry is not None and entry.number is not None
+
     def _add_orphan(self, running, now):
         assignment = Assignment(running.task, running.run, Resources(), 0)
         partition, owner = self._partition_and_owner(None, running.task)
--- a/tests/jobs/runners/test_lease.py
+++ b/tests/jobs/runners/test_lease.py
@@ -191,3 +191,18 @@
     frozen_at = world.now
     order_from_a_frozen_owner(world, 0.4)
     assert latest_end(world) < frozen_at + RESUBMISSION_S
+
+
+# Guards against a lapse of all runs on a worker: an older list, which a newer one had
+# overtaken, showed a run that had ended, and the lease was no longer renewed.
+def test_a_list_that_was_overtaken_finds_no_run():
+    world = running_world()
+    name = next(name for name in world.runners if world.workers[name].running)
+    runner, worker = world.runners[name], world.workers[name]
+    key = next(iter(worker.running))
+    older = worker.renew_lease(runner.fence, runner.acknowledged, None)
+    worker.stop(key, runner.fence)
+    newer = worker.renew_lease(runner.fence, runner.acknowledged, None)
+    for listing in (newer, older):
+        runner.reconcile(listing, runner.fence, 0, world.now, world.now)
+    assert "run:found" not in {event for event, _ in world.event_log.events}
