--- a/packages/daemon/banyanwheel_daemon/role.py
+++ b/packages/daemon/banyanwheel_daemon/role.py
@@ -121,12 +121,20 @@
             OperatorServer(self.metrics, self.event_log, **services).listen(address)
 
     def start(self):
-        """Installs the signal handlers and logs the start."""
+        """Installs the signal handlers and logs the start.
+
+        Signals that were held while the process started are handled next.
+        """
         self._apply_event("serve")
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGHUP, self._ignore_reload)
+        handlers = {
+            signal.SIGTERM: self._stop_requested.set,
+            signal.SIGINT: self._stop_requested.set,
+            signal.SIGHUP: self._ignore_reload,
+        }
+        for number, handler in handlers.items():
+            loop.add_signal_handler(number, handler)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, handlers)
         self.event_log(
             "process:started", role=self._name, process=self.settings.process.name
         )
--- a/packages/daemon/banyanwheel_daemon/service.py
+++ b/packages/daemon/banyanwheel_daemon/service.py
@@ -2,15 +2,22 @@
 
 The environment names the settings file, and the settings tell the role. A machine's
 callers wait while it starts, so the process loads no library of the command line, and
-collects no garbage while it loads the others.
+collects no garbage while it loads the others. Signals that come meanwhile are held
+until the role handles them.
 """
 
 import gc
 import os
+import signal
 import sys
 
 __all__ = ["SETTINGS_VARIABLE", "run_reporting", "run_service"]
 
+if __name__ == "__main__":  # before the libraries are loaded, which takes long
+    signal.pthread_sigmask(
+        signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+    )
+
 SETTINGS_VARIABLE = "BANYANWHEEL_SETTINGS"
 
 
