--- a/packages/daemon/banyanwheel_daemon/runner.py
+++ b/packages/daemon/banyanwheel_daemon/runner.py
@@ -16,15 +16,15 @@
     WorkerReplaced,
     WorkerUnavailable,
 )
-from banyanwheel_jobs.runners.runner import Runner
+from banyanwheel_jobs.runners.runner import INCARNATION_TIMEOUT_S, Runner
 from banyanwheel_platform.heartbeats import HeartbeatServer
 from banyanwheel_platform.log import LogClient
-from banyanwheel_platform.worker import WorkerClient
 
 from .clocks import boot_time
 from .members import Member, Members
 from .peers import Peers
 from .role import RUNNER, Role
+from .worker_verifier import WorkerVerifier
 
 __all__ = ["RunnerRole", "run"]
 
@@ -55,6 +55,10 @@
             self._handle_worker_heartbeat, self._handle_worker_left, self.event_log
         )
         self._client = None
+        self._verifier = WorkerVerifier(
+            self._runner, self._use_worker, self._refuse_heartbeat, self.spawn
+        )
+        self._announced_at = 0.0  # when the worker's newest heartbeat arrived
         self._peers = None
         self._contacted_at = 0.0  # when the last heartbeat of a dispatcher arrived
         self._registration = None
@@ -123,15 +127,61 @@
 
     # The worker
 
-    def _handle_worker_heartbeat(self, announcement):
-        if self._runner.announce(announcement, boot_time()):
-            if self._client is not None:
-                self._client.close()
-            self._client = WorkerClient(
-                announcement.address, announcement.worker_id, announcement.born_ms
-            )
-            self._poll_wakeup.set()
+    def _handle_worker_heartbeat(self, heartbeat):
+        if not self._names_worker(heartbeat):
+            self._verifier.verify(heartbeat)
+        elif self._contradicts_worker(heartbeat):
+            self._refuse_heartbeat(heartbeat, "other-writer")
+        else:
+            self._announce(heartbeat)
+
+    def _names_worker(self, heartbeat):
+        worker = self._runner.worker
+        return worker is not None and worker.incarnation == heartbeat.incarnation
+
+    def _contradicts_worker(self, heartbeat):
+        """Whether a heartbeat names the worker's life with another service or address.
+
+        These hold for a whole life. Such a heartbeat counts once the worker's own ones
+        stay away.
+        """
+        worker = self._runner.worker
+        same_service = heartbeat.service == worker.service
+        return not (same_service and heartbeat.address == worker.address) and (
+            boot_time() - self._announced_at < INCARNATION_TIMEOUT_S
+        )
+
+    def _refuse_heartbeat(self, heartbeat, reason):
+        self.event_log(
+            "heartbeat:refused",
+            incarnation=heartbeat.incarnation,
+            service=heartbeat.service,
+            address=heartbeat.address,
+            reason=reason,
+        )
+        self.event_log.count("banyanwheel.heartbeats.refused", reason)
+
+    def _use_worker(self, heartbeat, client):
+        """Uses a worker that has answered, unless the present one is a later life."""
+        if self._names_worker(heartbeat):  # by another heartbeat, meanwhile
+            client.close()
+            self._handle_worker_heartbeat(heartbeat)
+            return
+        if not self._announce(heartbeat):
+            client.close()
+            return
+        if self._client is not None:
+            self._client.close()
+        self._client = client
+        self._poll_wakeup.set()
+
+    def _announce(self, heartbeat):
+        """Passes a heartbeat of the worker on; returns whether a new life begins."""
+        begun = self._runner.announce(heartbeat, boot_time())
+        if self._runner.worker is heartbeat:
+            self._announced_at = boot_time()
         self._report_to_all()
+        return begun
 
     def _handle_worker_left(self, worker_id):
         worker = self._runner.worker
--- a/tests/features/workers.feature
+++ b/tests/features/workers.feature
@@ -106,3 +106,18 @@
       | kind      |
       | transient |
       | stored    |
+
+  # Guards against a worker that is put out of use by whoever calls its runner.
+  @at-most-once @whole-answer
+  Scenario Outline: Heartbeats of another writer reach the runners, while tasks run
+    When a <kind> job of 12 tasks of 1000 ms is submitted to dispatcher-1
+    And 12 tasks have started
+    And heartbeats of another writer reach the runners
+    Then the job is completed at its dispatcher
+    And each task has started once
+    And every promise is kept
+
+    Examples:
+      | kind      |
+      | transient |
+      | stored    |
--- a/tests/promises/conftest.py
+++ b/tests/promises/conftest.py
@@ -245,6 +245,12 @@
         world.cluster.deliver_leave(name.replace("runner", "worker"))
 
 
+@when("heartbeats of another writer reach the runners")
+def deliver_foreign_heartbeats(world):
+    for name in world.cluster.layout.runner_names:
+        world.cluster.deliver_foreign_heartbeat(name)
+
+
 @when("a worker has started tasks")
 def wait_for_any_worker(world):
     # Which one gets the first tasks is the dispatchers' choice.
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -217,6 +217,19 @@
         address = self._addresses[name.replace("worker", "runner")]["heartbeats"]
         call("DELETE", address, f"/instances/i-{name}")
 
+    def deliver_foreign_heartbeat(self, name):
+        """Delivers a heartbeat of a writer that is no worker to a runner."""
+        beat = {
+            "service": "unnamed",
+            "address": "127.0.0.1:1",
+            "state": "ready",
+            "seq": 1,
+            "capacity": {"cpu": 4_000, "memMb": 4_096, "gpu": 0},
+            "born": round(time.time() * 1000) + 60_000,
+        }
+        address = self._addresses[name]["heartbeats"]
+        call("PUT", address, "/instances/i-other", beat)
+
     def leave(self, name):
         """Has a worker say that it is leaving."""
         call("PUT", self._control(name), "/leave")
