Count a job as pending until one of its tasks is known to have started

Operators saw the same in `show jobs` and `why`.

Cause: placing a task took its job for begun, and nothing set it back.

Change: a job is `queued` until a report shows the percentage of a run, or an end that a run can only have after its start. Count, list, `why` and a caller's question read this one state. `why` says "assigned, none has begun" of what has been sent.

"Not run" stays true: a job keeps the runs of which nothing is known, and a transient one is refused only if there is none. New for callers: a transient job all of whose starts were refused gets 503 with a time once it is too late, in place of 504 at its deadline.

--- a/packages/core/banyanwheel_core/language/tables.py
+++ b/packages/core/banyanwheel_core/language/tables.py
@@ -67,7 +67,7 @@
             job="job id",
             queue="queue that it was handed in to",
             service="service whose workers run it",
-            state="queued or running: a job that has ended is not listed",
+            state="queued until a task is known to have started, then running",
             dispatcher="process that decides about it",
         ),
         *_flags(stored="whether it is kept on the log"),
--- a/packages/jobs/banyanwheel_jobs/owners/explaining.py
+++ b/packages/jobs/banyanwheel_jobs/owners/explaining.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+from ..model import JobState
 from .job import TaskState
 
 __all__ = ["explain"]
@@ -31,7 +32,9 @@
     shown = [f"{count} at {name}" for name, count in counts.most_common(SHOWN_RUNNERS)]
     more = len(counts) - len(shown)
     suffix = f" and {more} more runners" if more else ""
-    return f"runs: {', '.join(shown)}{suffix}"
+    begun = job.state is not JobState.QUEUED
+    word = "runs" if begun else "assigned, none has begun"
+    return f"{word}: {', '.join(shown)}{suffix}"
 
 
 def _unstartable(job, now):
--- a/packages/jobs/banyanwheel_jobs/owners/job.py
+++ b/packages/jobs/banyanwheel_jobs/owners/job.py
@@ -67,10 +67,12 @@
 class Job:
     """A job and its tasks.
 
-    ``ending`` is the final state that is being stored. The callbacks of ``on_final``
-    are called once the job has ended. Times are seconds of the owner's clock. A job
-    with callers at other dispatchers only was last confirmed by one of them at
-    ``confirmed_at``, None for other jobs.
+    ``state`` is QUEUED until a task is known to have started. ``unproven_runs`` are the
+    runs of which that isn't known either way, as (task, run, runner). ``ending`` is the
+    final state that is being stored. The callbacks of ``on_final`` are called once the
+    job has ended. Times are seconds of the owner's clock. A job with callers at other
+    dispatchers only was last confirmed by one of them at ``confirmed_at``, None for
+    other jobs.
     """
 
     submission: Submission
@@ -79,6 +81,7 @@
     received_at: float
     tasks: list = field(default_factory=list)  # one list of tasks per step
     state: JobState = JobState.QUEUED
+    unproven_runs: set = field(default_factory=set)
     ending: JobState | None = None
     reason: str = ""
     progress_stored: bool = False
@@ -128,6 +131,11 @@
         """Whether tasks of the job may still start."""
         return not self.state.final and self.ending is None
 
+    @property
+    def may_have_begun(self):
+        """Whether a task has started, or may have, for all that is known."""
+        return self.state is not JobState.QUEUED or bool(self.unproven_runs)
+
     @property
     def complete(self):
         """Whether every task is done."""
@@ -212,14 +220,26 @@
         task.runner = runner
         task.stopping = False
         task.deferred_since = None
-        self.apply_event("start")
+        self.unproven_runs.add((task.id, task.run, runner))
 
     def adopt(self, task, run, runner):
         """Takes over a run that a former owner placed."""
         task.run = max(task.run, run)
         task.apply_event("adopt")
         task.runner = runner
-        self.apply_event("start")
+        self.unproven_runs.add((task.id, run, runner))
+
+    def begin(self):
+        """Records that a task of the job has started."""
+        self.unproven_runs.clear()
+        if self.live and self.state is JobState.QUEUED:
+            self.apply_event("start")
+
+    def rule_out(self, task_id, run, runner):
+        """Records that a run never started and never will."""
+        # Of another runner it would be that of an earlier submission of this job, whose
+        # runs had the same numbers.
+        self.unproven_runs.discard((task_id, run, runner))
 
     def release(self, task):
         """Makes a task wait for another run."""
--- a/packages/jobs/banyanwheel_jobs/owners/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owners/owner.py
@@ -75,7 +75,7 @@
 
     @property
     def pending(self):
-        """The number of accepted jobs with no task started, by queue."""
+        """The number of accepted jobs with no task known to have started, by queue."""
         counts = {}
         for partition in self.all_partitions:
             for job in partition.jobs.values():
--- a/packages/jobs/banyanwheel_jobs/owners/report_handling.py
+++ b/packages/jobs/banyanwheel_jobs/owners/report_handling.py
@@ -12,6 +12,9 @@
 # Refusals by the worker itself. Such a worker has room all the time, so that a task
 # which went back to it at once would wait there beside others.
 REFUSED_BY_WORKER = ("worker-unhealthy", "worker-invalid", "worker-no-room")
+# Refusals of a run number that was used before, perhaps by the same run: the refused
+# assignment may have been a repetition.
+NUMBER_USED = ("outdated", "worker-outdated")
 
 
 class ReportHandling:
@@ -58,6 +61,8 @@
         partition, job, task = self.find(status.partition, status.task)
         if partition is None:
             return
+        if task is not None and status.percent >= 0:
+            job.begin()
         if task is None or not job.live or task.state is TaskState.DONE:
             self._stop(partition, view, status, "job-over")
         elif task.state is TaskState.PLACED:
@@ -108,6 +113,8 @@
         if partition is None:
             return
         run = TaskRun(end.task, end.run)
+        if task is not None:
+            self._record_start(job, view, end)
         if task is None:
             ended = partition.ended.get(end.task.job)
             other_run = ended is not None and ended.completing_run(end.task) not in (
@@ -130,6 +137,14 @@
             superseded.append(run)
             self._event_log("task:superseded", task=str(end.task), run=end.run)
 
+    def _record_start(self, job, view, end):
+        """Records whether a run that has ended had started, if its end tells."""
+        if end.kind is EndKind.REFUSED:
+            if end.reason not in NUMBER_USED:
+                job.rule_out(end.task, end.run, view.name)
+        elif end.kind in COUNTED_KINDS or end.run_ms:
+            job.begin()
+
     def _is_current(self, task, view, end):
         """Returns whether an end is that of the task's newest run."""
         match task.state:
--- a/packages/jobs/banyanwheel_jobs/owners/transient.py
+++ b/packages/jobs/banyanwheel_jobs/owners/transient.py
@@ -170,7 +170,7 @@
         for job in list(self._transient.jobs.values()):
             if now >= job.expires_at:
                 self.abort_transient(job.id, "deadline")
-            elif job.state is JobState.QUEUED:
+            elif not job.may_have_begun:
                 if cannot_end_in_time(job, now):
                     too_late.append(job)
                 elif not self.has_reachable_runner(now):
@@ -189,7 +189,7 @@
         return any(rank(job, now).tier == ON_TIME_TIER for job in self._waiting.active)
 
     def _refuse_transient(self, job, reason, now, retry_ms=RETRY_AFTER_MS):
-        """Refuses a job none of whose tasks has started."""
+        """Refuses a job none of whose tasks can have started."""
         del self._transient.jobs[job.id]
         self._waiting.discard(job)
         self._event_log.count("banyanwheel.refusals", reason)
--- a/tests/jobs/owners/test_inspection.py
+++ b/tests/jobs/owners/test_inspection.py
@@ -65,6 +65,8 @@
     world.submit_stored("owner-0", JOB, tasks=2)
     world.append("owner-0")
     world.step()
+    assert why(world) == ("queued", "assigned, none has begun: 2 at runner-0")
+    world.step()
     assert why(world) == ("running", "runs: 2 at runner-0")
     world.owners["owner-0"].dispatch(world.now)
     for _ in range(20):
@@ -77,6 +79,11 @@
     world.append("owner-0")
     world.owners["owner-0"].dispatch(world.now)
     state, text = why(world)
+    assert state == "queued"
+    assert text.startswith("6 tasks wait: no worker has room; assigned, none has ")
+    world.step()
+    world.step()
+    state, text = why(world)
     assert state == "running"
     assert text.startswith("6 tasks wait: no worker has room; runs: ")
 
--- a/tests/jobs/runners/worker_model.py
+++ b/tests/jobs/runners/worker_model.py
@@ -35,6 +35,7 @@
     lapsed_at: float = 0.0
     stuck: bool = False
     unresponsive: bool = False
+    refusing: bool = False  # refuses starts, as an unhealthy worker does
     run_durations_s: dict = field(default_factory=dict)
     ended_at: dict = field(default_factory=dict)
     stalled_at: dict = field(default_factory=dict)  # time by (task, run)
@@ -88,6 +89,8 @@
 
     def start(self, run, deadline_ms, fence, run_s):
         self.end_due_runs()
+        if self.refusing:
+            return StartOutcome.UNHEALTHY
         key = run.key
         if fence < self.fence:
             return StartOutcome.FENCED
--- a/tests/jobs/test_state_machine.py
+++ b/tests/jobs/test_state_machine.py
@@ -9,6 +9,7 @@
     rule,
 )
 
+from banyanwheel_jobs.model import JobState
 from banyanwheel_jobs.outcomes import Outcome
 
 from .world import World
@@ -219,6 +220,25 @@
         if hasattr(self, "world"):
             assert self.world.faults == []
 
+    @invariant()
+    def no_job_is_shown_as_running_before_it_has_begun(self):
+        if not hasattr(self, "world"):
+            return
+        begun = {task.job for task in self.world.starts}
+        for owner in self.world.owners.values():
+            for partition in owner.all_partitions:
+                for job in partition.jobs.values():
+                    assert job.state is JobState.QUEUED or job.id in begun
+
+    @invariant()
+    def no_job_that_has_begun_is_said_not_run(self):
+        if not hasattr(self, "world"):
+            return
+        begun = {task.job for task in self.world.starts}
+        for job_id in self.world.transient & begun:
+            outcomes = [reply.outcome for reply in self.world.replies[job_id]]
+            assert Outcome.NOT_STORED not in outcomes
+
     def teardown(self):
         if not hasattr(self, "world"):
             return
