State machine: what a job's former dispatcher ran is unknown to the next one

Its first submission got no answer, so its caller isn't told that it never ran; the checker of the scenarios has the same rule (all submissions refused). Jobs of such callers are left out of this invariant.

--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -122,6 +122,7 @@
         # Tasks of stored jobs; those of transient jobs may run again from the start.
         self.acknowledged_done = set()
         self.transient = set()
+        self.resubmitted = set()  # jobs whose callers left and came back
         self.log = LogModel()
         self.log_unreachable = set()
         self.late_starts = set()  # runners whose starts reach the worker late
@@ -406,6 +407,7 @@
 
     def leave(self, owner, job_id):
         """Has the caller of a transient job break its connection."""
+        self.resubmitted.add(job_id)
         job = self.owners[owner].transient.jobs[job_id]
         for reply in list(job.on_final):
             self.owners[owner].remove_transient_caller(job_id, reply)
