Only an answer of the log verifies that a partition is still owned

Not seen with real processes, nor tried with them.

Cause: after a change of the group's generation the owner asks for 2 s whether its epoch has been fenced. After these the next renewal was a confirmation, answered checks or none (`Ownership._apply_membership`).

Evidence: a test whose log is silent for 0.5 to 10 s (all calls, appends alone, appends that hang), with and without a later owner.

Change: a partition is checked at each renewal until a check that was sent after the 2 s is answered; without an answer nothing is confirmed. Each check has its own timeout, so that a slow partition doesn't void the answers of the others. It works since nobody else opens the partition under an older generation by then: one such answer holds until the generation changes. One more round of checks for each change is the cost; a test shows that they end.

A confirmation is of all partitions together, as before: while one of them has no answer after a change, questions for unknown jobs of the others wait too.

--- a/packages/daemon/banyanwheel_daemon/ownership.py
+++ b/packages/daemon/banyanwheel_daemon/ownership.py
@@ -18,6 +18,7 @@
 FLUSH_TIMEOUT_S = 0.5  # for queued records when a partition is handed over
 # After a change of generation, another member may have opened a partition in the
 # meantime. It opens no more once it has renewed, and a call gets no answer after 1 s.
+# A check that is sent later shows for good whether a partition is fenced.
 FENCE_CHECK_DURATION_S = 2.0
 
 
@@ -70,6 +71,7 @@
         self._confirmations = []
         self._stalled_since = {}
         self._check_fences_until = 0.0
+        self._checked = set()  # (partition, epoch) with an answer to a later check
 
     @property
     def claims(self):
@@ -184,11 +186,12 @@
         self._generation = membership.generation
         if changed:
             self._check_fences_until = self._now() + FENCE_CHECK_DURATION_S
+            self._checked.clear()
         revoked = set(self._owner.partitions) - membership.partitions
         self._assigned = membership.partitions
         if revoked:
             await self._flush_and_close(revoked, "dealt-elsewhere")
-        verified = self._now() > self._check_fences_until or await self._close_fenced()
+        verified = await self._close_fenced()
         unopened = membership.partitions - set(self._owner.partitions)
         for number in unopened - self._spent:
             if number not in self._open_tasks:
@@ -212,26 +215,31 @@
         another member owned in between; then the epoch held here is fenced. Returns
         whether the log has answered for all partitions.
         """
-        kept = list(self._owner.partitions.values())
-        try:
-            # Renewals must not wait for a slow log for long.
-            async with asyncio.timeout(STALL_TIMEOUT_S):
-                answers = await asyncio.gather(*map(self._is_fenced, kept))
-        except TimeoutError:
-            return False
-        for partition, fenced in zip(kept, answers, strict=True):
+        unchecked = [
+            partition
+            for partition in self._owner.partitions.values()
+            if (partition.number, partition.epoch) not in self._checked
+        ]
+        conclusive = self._now() > self._check_fences_until
+        answers = await asyncio.gather(*map(self._is_fenced, unchecked))
+        for partition, fenced in zip(unchecked, answers, strict=True):
             if fenced and self._owns(partition):
                 self._close(partition.number, "fenced")
+            elif fenced is False and conclusive:
+                self._checked.add((partition.number, partition.epoch))
         return None not in answers
 
     async def _is_fenced(self, partition):
         """Returns whether a later epoch was used, None if the log gives no answer."""
         try:
-            result = await self._log.append(
-                JOBS_TOPIC, partition.number, [], epoch=partition.epoch, sequence=0
-            )
-        except LogUnavailable as error:
-            self._event_log("log:unavailable", call="check", fault=str(error))
+            # Renewals must not wait for a slow log for long.
+            async with asyncio.timeout(STALL_TIMEOUT_S):
+                result = await self._log.append(
+                    JOBS_TOPIC, partition.number, [], epoch=partition.epoch, sequence=0
+                )
+        except (LogUnavailable, TimeoutError) as error:
+            fault = str(error) or "no answer in time"
+            self._event_log("log:unavailable", call="check", fault=fault)
             return None
         return result.outcome is AppendOutcome.FENCED
 
--- a/tests/daemon/test_ownership.py
+++ b/tests/daemon/test_ownership.py
@@ -1,14 +1,21 @@
 import asyncio
 import time
 
-from banyanwheel_daemon.ownership import Ownership
+import pytest
+
+from banyanwheel_daemon import ownership as ownership_module
+from banyanwheel_daemon.ownership import RENEWAL_INTERVAL_S, Ownership
+from banyanwheel_jobs.model import Queue, Resources, Step, Submission
+from banyanwheel_jobs.outcomes import Outcome
 from banyanwheel_jobs.owners.journal import Batch
 from banyanwheel_jobs.ports import (
     AppendOutcome,
     AppendResult,
+    KeyedRecord,
     LogUnavailable,
     Membership,
 )
+from banyanwheel_jobs.records import Accepted, encode, job_key
 from tests.jobs.world import EventRecorder, lone_owner
 from tests.standins.platform_log import PARTS, Group, Partition
 
@@ -23,18 +30,22 @@
         return await self.answer
 
 
-def open_ownership(log):
+async def refresh():
+    """Stands in for reading the list of members."""
+
+
+def open_ownership(log, now=lambda: 100.0):
     """Returns an ownership with partition 0 open."""
     owner = lone_owner()
     ownership = Ownership(
         log,
         owner,
         "member",
-        (lambda: 100.0, lambda: 0),
+        (now, lambda: 0),
         EventRecorder(),
         trusts=list,
         on_change=lambda: None,
-        refresh=None,
+        refresh=refresh,
     )
     partition = owner.open(0, 1, [], 100.0, 0)
     return owner, ownership, partition
@@ -150,11 +161,6 @@
 
     async def run():
         owner, ownership, partition = open_ownership(log)
-
-        async def refresh():
-            pass
-
-        ownership._refresh = refresh
         confirmed = []
         for number in range(times):
             if number == 1:
@@ -353,3 +359,161 @@
         return log.keys()
 
     assert asyncio.run(run()) == {"first", "second", "third"}
+
+
+class SilentLog(ScriptedLog):
+    """A log that answers nothing from a change of the generation on, until ``until``.
+
+    What is ``silent`` is all calls, or appends alone, or these with calls that hang. A
+    ``later_owner`` has used epoch 2 before the change, and stored ``stored``.
+    """
+
+    def __init__(self, clock, silence_s, *, silent, later_owner, stored):
+        super().__init__(())
+        self._clock = clock
+        self._silent = silent
+        self._silence_s = silence_s
+        self._later_owner = later_owner
+        self._stored = stored if later_owner else []
+        self.until = None
+        self.answered_checks = 0
+
+    async def _require_answer(self):
+        if self.until is not None and self._clock.now < self.until:
+            if self._silent == "hanging appends":
+                await asyncio.Event().wait()
+            raise LogUnavailable("no answer", sent=True)
+
+    async def join(self, group, member, topic, generation, *, lifetime_s):
+        if self._silent == "all":
+            await self._require_answer()
+        if self.until is None:
+            self.until = self._clock.now + self._silence_s
+            if self._later_owner:
+                self.epoch = 2
+        return Membership(3, frozenset({0}))
+
+    async def append(self, topic, partition, records, *, epoch, sequence):
+        await self._require_answer()
+        self.answered_checks += 1
+        return await super().append(
+            topic, partition, records, epoch=epoch, sequence=sequence
+        )
+
+    async def newest(self, topic, partition):
+        return self._stored, 0
+
+
+class Clock:
+    """A clock that the test sets."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+JOB = "a" * 16
+RENEWALS_UNTIL_KNOWN = 3  # that are answered after the silence
+
+
+def play_silence(silence_s, *, silent, later_owner):
+    """Asks for ``JOB`` at each renewal during a silence of the log and after it.
+
+    Returns the log and (time, checks answered so far, outcome) of each answer.
+    """
+    queue = Queue("q", "desk", 0, 3, 1.6, 60)
+    submission = Submission(JOB, queue, "", (Step(1, Resources(1), 1),), 0)
+    record = KeyedRecord(job_key(JOB), encode(Accepted(submission, 2)), 0)
+
+    async def run():
+        clock = Clock()
+        log = SilentLog(
+            clock, silence_s, silent=silent, later_owner=later_owner, stored=[record]
+        )
+        owner, ownership, _ = open_ownership(log, clock)
+        answers = []
+
+        def ask():
+            def note(reply):
+                answers.append((clock.now, log.answered_checks, reply.outcome))
+
+            owner.ask(JOB, note)
+
+        while log.until is None or clock.now < log.until + RENEWALS_UNTIL_KNOWN * 0.4:
+            ownership.call_when_confirmed(ask)
+            await ownership._renew()
+            await asyncio.sleep(0)
+            clock.now += RENEWAL_INTERVAL_S
+        return log, owner, answers
+
+    return asyncio.run(run())
+
+
+SILENCES_S = [0.5, 1.0, 1.9, 2.1, 3.0, 5.0, 10.0]
+SILENT = ["all", "appends", "hanging appends"]
+
+
+@pytest.fixture
+def short_waits(monkeypatch):
+    """The times that pass are those of the test's clock."""
+    monkeypatch.setattr(ownership_module, "JOIN_RETRY_DELAY_S", 0.0)
+    monkeypatch.setattr(ownership_module, "STALL_TIMEOUT_S", 0.01)
+
+
+@pytest.mark.parametrize("silent", SILENT)
+@pytest.mark.parametrize("silence_s", SILENCES_S)
+def test_a_job_that_a_later_owner_accepted_is_never_unknown(
+    short_waits, silence_s, silent
+):
+    """Without an answer, ownership counted as checked 2 s after a generation change.
+
+    The partition had been another's in between; its jobs were said to be unknown.
+    """
+    _, owner, answers = play_silence(silence_s, silent=silent, later_owner=True)
+    assert Outcome.UNKNOWN_JOB not in [outcome for _, _, outcome in answers]
+    assert answers[-1][2] is Outcome.STATE
+    assert owner.partitions[0].epoch == 3
+
+
+@pytest.mark.parametrize("silent", SILENT)
+@pytest.mark.parametrize("silence_s", SILENCES_S)
+def test_only_an_answer_of_the_log_verifies_ownership(short_waits, silence_s, silent):
+    log, owner, answers = play_silence(silence_s, silent=silent, later_owner=False)
+    assert [checks for _, checks, _ in answers if not checks] == []
+    assert {outcome for _, _, outcome in answers} == {Outcome.UNKNOWN_JOB}
+    assert min(at for at, _, _ in answers) >= log.until
+    assert owner.partitions[0].epoch == 1
+
+
+def test_a_partition_that_another_opens_after_the_first_checks_is_reopened():
+    async def run():
+        clock = Clock()
+        log = ScriptedLog([Membership(3, frozenset({0}))] * 8)
+        owner, ownership, _ = open_ownership(log, clock)
+        for number in range(8):
+            if number == 4:
+                log.epoch = 2
+            await ownership._renew()
+            await asyncio.sleep(0)
+            clock.now += RENEWAL_INTERVAL_S
+        return owner
+
+    assert asyncio.run(run()).partitions[0].epoch == 3
+
+
+def test_partitions_are_checked_no_more_once_they_have_been():
+    async def run():
+        clock = Clock()
+        log = SilentLog(clock, 0.0, silent="all", later_owner=False, stored=[])
+        _, ownership, _ = open_ownership(log, clock)
+        checks = []
+        for _ in range(40):
+            await ownership._renew()
+            clock.now += RENEWAL_INTERVAL_S
+            checks.append(log.answered_checks)
+        return checks
+
+    checks = asyncio.run(run())
+    assert checks[6] == checks[-1]
