Tests: workers that leave orders unanswered and carry them out late, or refuse starts

The stand-in of a worker now leaves a share of all orders, or of the stops alone, without an answer and carries them out 2 to 12 s later; a seed decides which ones and when. It also refuses starts with 503.

--- a/tests/standins/platform_worker.py
+++ b/tests/standins/platform_worker.py
@@ -4,13 +4,14 @@
 import contextlib
 import time
 from dataclasses import dataclass, field
+from random import Random
 
 import msgspec
 import typer
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 from tornado.httpserver import HTTPServer
 from tornado.locks import Condition
-from tornado.web import Application
+from tornado.web import Application, Finish
 
 from .history import (
     EndTaken,
@@ -35,6 +36,7 @@
 LOOK_S = 0.01
 HOLD_MAX_MS = 1_000
 SILENCE_S = 30.0
+LATE_S = (2.0, 12.0)  # an unanswered order is carried out so much later
 CAPACITY = {"cpu": 4_000, "memMb": 4_096, "gpu": 0}
 
 
@@ -42,7 +44,9 @@
     """Faults of a worker; ``lose_start_answers`` counts down.
 
     ``hang`` lets runs stand still, ``slow_factor`` takes effect at a start. A lost
-    answer is that of a start that was carried out.
+    answer is that of a start that was carried out. ``late_share`` of all orders, or
+    ``late_stop_share`` of the stops, get no answer and are carried out later; ``seed``
+    decides which ones, and when.
     """
 
     hang: bool = False
@@ -51,6 +55,10 @@
     silent: bool = False
     garbage: bool = False
     lose_start_answers: int = 0
+    refuse_starts: bool = False
+    late_share: float = 0.0
+    late_stop_share: float = 0.0
+    seed: int = 0
 
 
 @dataclass
@@ -88,6 +96,7 @@
     changed: Condition = field(default_factory=Condition)
     born: int = field(default_factory=lambda: int(time.time() * 1000))
     began: float = field(default_factory=time.monotonic)
+    random: Random = field(default_factory=Random)
 
     @property
     def clock_ms(self):
@@ -95,6 +104,14 @@
 
     def set_faults(self, faults):
         self.faults = faults
+        self.random.seed(f"{faults.seed}-{self.name}")
+
+    def late_s(self, order):
+        """Returns how much later an order is carried out without an answer, or 0."""
+        share = self.faults.late_share
+        if order == self.stop:
+            share = max(share, self.faults.late_stop_share)
+        return self.random.uniform(*LATE_S) if self.random.random() < share else 0.0
 
     def record(self, kind, *key, **fields):
         if self.history is not None:
@@ -136,9 +153,12 @@
                 self.record(EndTaken, task, run, how=how)
         self.finished = [row for row in self.finished if row[0] > cursor]
 
+    # Orders; they return (status, reason).
+
     def start(self, body):
-        """Returns (status, reason)."""
         task, run = body["task"], body["run"]
+        if self.faults.refuse_starts:
+            return 503, ""
         if body["fence"] < self.fence:
             return 409, "fence"
         self.fence = body["fence"]
@@ -156,6 +176,24 @@
         self.record(TaskStarted, task, run)
         return 200, ""
 
+    def stop(self, body):
+        key = (body["task"], body["run"])
+        if body["fence"] >= self.fence:
+            self.fence = body["fence"]
+            self.over[key[0]] = max(self.over.get(key[0], 0), key[1])
+            if key in self.running:
+                self.end(key, "stopped")
+        return 200, ""
+
+    def hold(self, body):
+        if body["fence"] < self.fence:
+            return 409, "fence"
+        self.fence = body["fence"]
+        self.take(body["ackCursor"])
+        if "deadlineMs" in body:
+            self.extend(body["deadlineMs"])
+        return 200, ""
+
     def length_ms(self, spec):
         """Reads the run time out of a spec such as ``{"run_ms": 50}``."""
         with contextlib.suppress(msgspec.MsgspecError):
@@ -182,10 +220,20 @@
     def body(self):
         return msgspec.json.decode(self.request.body)
 
+    async def carry_out(self, order):
+        """Carries out an order, which may happen late and without an answer."""
+        delay_s = self.worker.late_s(order)
+        if not delay_s:
+            return order(self.body())
+        asyncio.get_running_loop().call_later(delay_s, order, self.body())
+        await asyncio.sleep(SILENCE_S)
+        self.cut()
+        raise Finish
+
 
 class Start(Handler):
-    def post(self):
-        status, reason = self.worker.start(self.body())
+    async def post(self):
+        status, reason = await self.carry_out(self.worker.start)
         lost, self.worker.faults = count_down(self.worker.faults, "lose_start_answers")
         if lost:
             self.cut()
@@ -194,28 +242,18 @@
 
 
 class Stop(Handler):
-    def post(self):
-        body = self.body()
-        key = (body["task"], body["run"])
-        worker = self.worker
-        if body["fence"] >= worker.fence:
-            worker.fence = body["fence"]
-            worker.over[key[0]] = max(worker.over.get(key[0], 0), key[1])
-            if key in worker.running:
-                worker.end(key, "stopped")
+    async def post(self):
+        await self.carry_out(self.worker.stop)
         self.answer()
 
 
 class Hold(Handler):
     async def post(self):
         worker, body = self.worker, self.body()
-        if body["fence"] < worker.fence:
-            self.answer(409, reason="fence")
+        status, reason = await self.carry_out(worker.hold)
+        if status != 200:
+            self.answer(status, reason=reason)
             return
-        worker.fence = body["fence"]
-        worker.take(body["ackCursor"])
-        if "deadlineMs" in body:
-            worker.extend(body["deadlineMs"])
         if body.get("waitMs") and not worker.finished:
             await worker.changed.wait(timeout=time.time() + body["waitMs"] / 1000)
         now = worker.clock_ms
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -1,10 +1,12 @@
 """The stand-ins of the platform as processes, over HTTP."""
 
+import json
 import socket
-from http.client import RemoteDisconnected
+from http.client import HTTPConnection, RemoteDisconnected
 
 import pytest
 
+from tests.standins import platform_worker
 from tests.standins.calls import TIMEOUT_S, call
 from tests.standins.history import (
     EndTaken,
@@ -17,6 +19,8 @@
 
 NOBODY = "127.0.0.1:9"  # the discard port, where no runner listens
 LONG_MS = 60_000
+UNANSWERED_S = 0.2  # shorter than the earliest late order
+STOPPED_RUN = 1_000_000  # more than are started until a late order is carried out
 
 
 @pytest.fixture
@@ -133,6 +137,59 @@
     assert call("PUT", worker.address, "/faults", {"unknown": 1})[0] == 400
 
 
+def test_a_worker_that_refuses_starts_runs_nothing(worker):
+    worker.faults(refuse_starts=True)
+    assert worker.start()[0] == 503
+    assert worker.hold()["running"] == []
+    worker.faults()
+    assert worker.start()[0] == 200
+
+
+def send_unanswered(worker, path, **body):
+    """Sends an order and leaves without its answer."""
+    host, _, port = worker.address.rpartition(":")
+    connection = HTTPConnection(host, int(port))
+    connection.request("POST", path, json.dumps(body))
+    return connection
+
+
+@pytest.mark.parametrize("fault", ["late_share", "late_stop_share"])
+def test_a_stop_without_an_answer_is_carried_out_later(worker, fault):
+    worker.faults(**{fault: 1.0})
+    stop = {"task": "j.0.0.0", "run": STOPPED_RUN, "fence": 0}
+    connection = send_unanswered(worker, "/run-stop", **stop)
+    with pytest.raises(TimeoutError):
+        connection.sock.settimeout(UNANSWERED_S)
+        connection.getresponse()
+    connection.close()
+    worker.faults()
+    assert worker.start(fence=0, run_ms=1)[0] == 200
+    reason = ""
+    for run in range(2, STOPPED_RUN):
+        reason = worker.start(fence=0, run=run, run_ms=1)[1]["reason"]
+        if reason == "old":
+            break
+    assert reason == "old"
+
+
+def test_a_worker_that_leaves_stops_alone_unanswered_answers_others(worker):
+    worker.faults(late_stop_share=1.0)
+    assert worker.start()[0] == 200
+    assert len(worker.hold()["running"]) == 1
+
+
+def test_a_worker_leaves_the_same_share_of_orders_unanswered_for_a_seed():
+    def delays(seed):
+        worker = platform_worker.Worker("worker-1", 100, None)
+        worker.set_faults(platform_worker.WorkerFaults(late_share=0.5, seed=seed))
+        return [worker.late_s(worker.hold) for _ in range(100)]
+
+    assert delays(1) == delays(1) != delays(2)
+    late = [delay_s for delay_s in delays(1) if delay_s]
+    assert 0 < len(late) < len(delays(1))
+    assert all(2.0 <= delay_s <= 12.0 for delay_s in late)
+
+
 def test_a_worker_reports_again_after_its_runner_stood_still(start, tmp_path):
     """Seen in the soak, seed 107: its heartbeats ended with the first timeout."""
     silent = socket.create_server(("127.0.0.1", 0))
