--- a/tests/promises/conftest.py
+++ b/tests/promises/conftest.py
@@ -25,6 +25,9 @@
     "garbage": True,
     "lose_start_answers": 4,
     "slow_factor": 10.0,
+    "refuse_starts": True,
+    "late_share": 0.5,
+    "late_stop_share": 1.0,
 }
 PROXY_FAULTS = {
     "lose_answers": 1,
--- a/tests/promises/submissions.py
+++ b/tests/promises/submissions.py
@@ -38,6 +38,26 @@
         world.leave_for_others(frozen, count)
 
 
+@when(
+    parsers.parse(
+        "callers submit {count:d} transient jobs of {tasks:d} tasks of {run_ms:d} ms, "
+        "and these begin"
+    )
+)
+def submit_and_leave(world, count, tasks, run_ms):
+    world.submit_and_leave(count, tasks, run_ms)
+
+
+@when("those callers leave, and come back elsewhere")
+def come_back(world):
+    world.come_back()
+
+
+@when("those callers are answered")
+def wait_for_leavers(world):
+    assert all(told.status for told in world.told), world.told
+
+
 @when(
     parsers.parse(
         "a stored job of {tasks:d} tasks of {run_ms:d} ms is submitted "
--- a/tests/promises/world.py
+++ b/tests/promises/world.py
@@ -1,5 +1,6 @@
 """What the steps of one scenario share."""
 
+import itertools
 import json
 import threading
 import time
@@ -17,6 +18,7 @@
 ASK_PAUSE_S = 0.1
 LEAVERS_PATIENCE_S = 0.2
 LEAVERS_RUN_MS = 1_000
+RUNNING_PATIENCE_S = 2.0  # of callers whose tasks run when they leave
 CANCEL_CALLERS = 4
 
 
@@ -30,6 +32,7 @@
     job_id: str = ""
     submitted_to: str = ""
     answers: list = field(default_factory=list)
+    leaving: dict = field(default_factory=dict)  # answer by job
     owner: str = ""
     entry: str = ""
     runner: str = ""
@@ -83,7 +86,7 @@
         """
         others = [name for name in self.dispatchers if name != frozen]
         job = job_of(1, LEAVERS_RUN_MS, stored=False)
-        jobs = [f"ff{self.new_job_id()[2:]}" for _ in range(count)]
+        jobs = self._new_job_ids(count)
         self.cluster.freeze(frozen)
         leaving = [
             self._submit_for(frozen, each, job, LEAVERS_PATIENCE_S) for each in jobs
@@ -100,6 +103,32 @@
         for told in again:
             told()
 
+    def submit_and_leave(self, count, tasks, run_ms):
+        """Has callers submit jobs that they leave soon; returns when all have begun."""
+        self.job = job_of(tasks, run_ms, stored=False)
+        jobs = self._new_job_ids(count)
+        names = itertools.cycle(self.dispatchers)
+        self.leaving = {
+            each: self._submit_for(next(names), each, self.job, RUNNING_PATIENCE_S)
+            for each in jobs
+        }
+        self.cluster.wait_for(
+            lambda: {event.job for event in self.starts("ff")} >= set(jobs),
+            "not all of these jobs have begun",
+        )
+
+    def come_back(self):
+        """Has the callers that leave submit their jobs again, elsewhere."""
+        assert {told().status for told in self.leaving.values()} == {0}
+        time.sleep(RESEND_S)
+        names = itertools.cycle(self.dispatchers[1:] + self.dispatchers[:1])
+        self.answers += [
+            self._submit_for(next(names), each, self.job) for each in self.leaving
+        ]
+
+    def _new_job_ids(self, count):
+        return [f"ff{self.new_job_id()[2:]}" for _ in range(count)]
+
     def _submit_for(self, dispatcher, job_id, job, patience_s=ANSWER_TIMEOUT_S):
         name = f"caller-{dispatcher}-{job_id}"
         caller = self.cluster.caller(name, patience_s=patience_s)
