Stand-in of a worker: a lease lapses by its clock, also where it stands still

A worker of the platform kills all that runs when its lease expires. The stand-in did so when it next looked: where its process had stood still it told the end late, carried out orders before it looked, so that a renewal revived the lease, and told "done" for a run that the lease had not covered. It now settles before each order and tells an end with the time of its clock. It also records when it stood still, with the processor's time that it used.

Found by one run, under a load of some 38 on 8 cores, of "Callers come back while all processes are killed in series" (every dispatcher, 8 s apart, no fault of workers): run 2 of a task began at 1382.205, run 1 was told to have lapsed at 1382.455. Its runner had no answer from that worker from 1380.83 on, and gave the run up at 1382.206; in those 1.6 s the worker recorded nothing.

Run: the new test fails on the stand-in before (lapse told after the process went on); tests/test_standins.py, 13 passed.

--- a/tests/standins/history.py
+++ b/tests/standins/history.py
@@ -23,6 +23,7 @@
     "ProcessPaused",
     "ProcessResumed",
     "ProcessStarted",
+    "StoodStill",
     "StopRequested",
     "TaskEnded",
     "TaskStarted",
@@ -96,6 +97,13 @@
     """A worker's lease ran out."""
 
 
+class StoodStill(_Event, frozen=True, tag=True):
+    """A stand-in did nothing for a while, with so much of its processor's time."""
+
+    seconds: float
+    processor_s: float
+
+
 class LeaveAnnounced(_Event, frozen=True, tag=True):
     """A runner acknowledged that its worker leaves."""
 
@@ -140,6 +148,7 @@
     | EndTaken
     | LeaseLapsed
     | LeaveAnnounced
+    | StoodStill
     | ConfigurationPublished
     | ConfigurationInForce
     | ProcessStarted
--- a/tests/standins/platform_worker.py
+++ b/tests/standins/platform_worker.py
@@ -18,6 +18,7 @@
     History,
     LeaseLapsed,
     LeaveAnnounced,
+    StoodStill,
     TaskEnded,
     TaskStarted,
 )
@@ -34,6 +35,7 @@
 
 HEARTBEAT_S = 0.5
 LOOK_S = 0.01
+STOOD_STILL_S = 0.1  # told in the history
 HOLD_MAX_MS = 1_000
 SILENCE_S = 30.0
 LATE_S = (2.0, 12.0)  # an unanswered order is carried out so much later
@@ -128,22 +130,27 @@
         now = self.clock_ms
         if not self.lapsed and self.deadline_ms < now:
             self.lapsed = True
-            self.record(LeaseLapsed)
+            self.record(LeaseLapsed, at=self.time_of(self.deadline_ms))
         for key, run in list(self.running.items()):
             if self.faults.hang:
                 run.held_up_ms += now - max(self.settled_at, run.began)
-            if run.ends + run.held_up_ms <= now:
-                self.end(key, "failed" if self.faults.fail_all else "done")
-            elif self.lapsed:
-                self.end(key, "lapsed")
+            ends = run.ends + run.held_up_ms
+            if self.lapsed and self.deadline_ms < ends:
+                self.end(key, "lapsed", self.deadline_ms)
+            elif ends <= now:
+                self.end(key, "failed" if self.faults.fail_all else "done", ends)
         self.settled_at = now
 
-    def end(self, key, how):
+    def time_of(self, clock_ms):
+        """Returns the time of a reading of its clock that has passed."""
+        return min(time.monotonic(), self.began + clock_ms / 1000)
+
+    def end(self, key, how, ended_ms):
         del self.running[key]
         self.number += 1
         self.finished.append([self.number, *key, how, ""])
         self.over[key[0]] = max(self.over.get(key[0], 0), key[1])
-        self.record(TaskEnded, *key, how=how)
+        self.record(TaskEnded, *key, how=how, at=self.time_of(ended_ms))
         self.changed.notify_all()
 
     def take(self, cursor):
@@ -153,6 +160,11 @@
                 self.record(EndTaken, task, run, how=how)
         self.finished = [row for row in self.finished if row[0] > cursor]
 
+    def obey(self, order, body):
+        """Carries out an order; what is over by then has ended before."""
+        self.settle()
+        return order(body)
+
     # Orders; they return (status, reason).
 
     def start(self, body):
@@ -182,7 +194,7 @@
             self.fence = body["fence"]
             self.over[key[0]] = max(self.over.get(key[0], 0), key[1])
             if key in self.running:
-                self.end(key, "stopped")
+                self.end(key, "stopped", self.clock_ms)
         return 200, ""
 
     def hold(self, body):
@@ -224,8 +236,9 @@
         """Carries out an order, which may happen late and without an answer."""
         delay_s = self.worker.late_s(order)
         if not delay_s:
-            return order(self.body())
-        asyncio.get_running_loop().call_later(delay_s, order, self.body())
+            return self.worker.obey(order, self.body())
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self.worker.obey, order, self.body())
         await asyncio.sleep(SILENCE_S)
         self.cut()
         raise Finish
@@ -308,7 +321,13 @@
 
 
 async def _settle(worker):
+    looked_at, used_s = time.monotonic(), time.process_time()
     while True:
+        seconds = time.monotonic() - looked_at
+        processor_s = time.process_time() - used_s
+        if seconds > STOOD_STILL_S:
+            worker.record(StoodStill, seconds=seconds, processor_s=processor_s)
+        looked_at, used_s = time.monotonic(), time.process_time()
         worker.settle()
         await asyncio.sleep(LOOK_S)
 
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import time
 from http.client import HTTPConnection, RemoteDisconnected
 
 import pytest
@@ -19,6 +20,7 @@
 
 NOBODY = "127.0.0.1:9"  # the discard port, where no runner listens
 LONG_MS = 60_000
+SHORT_LEASE_MS = 300
 UNANSWERED_S = 0.2  # shorter than the earliest late order
 STOPPED_RUN = 1_000_000  # more than are started until a late order is carried out
 
@@ -113,6 +115,24 @@
     assert LeaseLapsed in worker.kinds()
 
 
+def test_a_lease_lapses_on_time_though_its_worker_stands_still(start, tmp_path):
+    """Its process may stand still under load; the platform ends runs by its clock."""
+    path = tmp_path / "worker.history"
+    process = start("platform_worker", runner=NOBODY, history=path)
+    worker = Worker(process.ready["address"], path)
+    worker.start(lease_ms=SHORT_LEASE_MS)
+    process.freeze()
+    renewal = {"fence": 1, "ackCursor": 0, "deadlineMs": LONG_MS}
+    connection = send_unanswered(worker, "/hold", **renewal)
+    time.sleep(2 * SHORT_LEASE_MS / 1000)
+    thawed_at = time.monotonic()
+    process.thaw()
+    connection.getresponse().close()
+    assert worker.wait_finished()[0][3] == "lapsed"
+    at = {type(event): event.at for event in read(path)}
+    assert at[LeaseLapsed] == at[TaskEnded] < thawed_at
+
+
 def test_a_stop_keeps_a_run_from_starting_later(worker):
     assert worker.post("/run-stop", task="j.0.0.0", run=1, fence=1)[0] == 200
     worker.fence = 1
