Scenario: all processes are killed in series, and callers come back

All dispatchers, or all runners too, are now killed at the same moment, twice, 3 or 8 s apart, with and without stops that are left unanswered, beside callers of jobs of 2 s who come back 1.3 s later until they are answered. The callers of the other scenarios are as before.

--- a/tests/features/returning.feature
+++ b/tests/features/returning.feature
@@ -10,3 +10,22 @@
     And those callers leave, and come back elsewhere
     And those callers are answered
     Then every promise is kept
+
+  # Guards against a run that outlives its dispatcher, or its runner, while its job, sent
+  # again by its caller, runs elsewhere.
+  @at-most-once @whole-answer
+  Scenario Outline: Callers come back while all processes are killed in series
+    Given a system of 3 dispatchers and 6 runners
+    And callers of long jobs, which come back until they are answered
+    And every worker has the fault <fault>
+    When 4 jobs are answered
+    And <herd> is killed at once, and started again, 2 times, <seconds> s apart
+    And the workers are mended
+    And the callers stop
+    Then every accepted job of the callers ends
+    And every promise is kept
+
+    Examples:
+      | herd                              | fault           | seconds |
+      | every dispatcher                  | none            | 8       |
+      | every dispatcher and every runner | late_stop_share | 3       |
--- a/tests/promises/conftest.py
+++ b/tests/promises/conftest.py
@@ -84,6 +84,8 @@
 @given(parsers.parse("every worker has the fault {fault}"))
 @when(parsers.parse("every worker has the fault {fault}"))
 def break_workers(world, fault):
+    if fault == "none":
+        return
     for name in world.cluster.layout.runner_names:
         break_worker(world, name.replace("runner", "worker"), fault)
 
@@ -191,13 +193,27 @@
 
 @when("every process is killed at once and started again")
 def kill_all(world):
-    for name in world.cluster.daemons:
-        world.cluster.kill(name)
-    for name in world.cluster.daemons:
-        world.cluster.start_again(name)
+    world.cluster.kill_together(world.cluster.daemons)
+    world.cluster.start_together(world.cluster.daemons)
     world.cluster.wait_ready()
 
 
+@when(
+    parsers.re(
+        r"every dispatcher(?P<runners> and every runner)? is killed at once, "
+        r"and started again, (?P<times>\d+) times, (?P<seconds>\d+) s apart"
+    ),
+    converters={"runners": bool, "times": int, "seconds": int},
+)
+def kill_herd(world, runners, times, seconds):
+    layout = world.cluster.layout
+    herd = world.cluster.daemons if runners else layout.dispatcher_names
+    for _ in range(times):
+        world.cluster.kill_together(herd)
+        world.cluster.start_together(herd)
+        time.sleep(seconds)
+
+
 @when(parsers.parse("the lease of {worker} has lapsed"))
 def wait_for_lapse(world, worker):
     world.cluster.wait_for_event(LeaseLapsed, process=worker)
--- a/tests/promises/submissions.py
+++ b/tests/promises/submissions.py
@@ -4,10 +4,11 @@
 
 from pytest_bdd import given, parsers, when
 
-from tests.standins.load import Load
+from tests.standins.load import Load, Work
 
 LOAD_CALLERS = 4
 TRANSIENT_CALLERS = 2  # stored jobs get no answer while the log is away
+LONG_WORK = Work(run_ms=2_000, tries=100)
 
 
 @given("callers that submit jobs all the time")
@@ -17,6 +18,13 @@
     stack.callback(world.load.stop)
 
 
+@given("callers of long jobs, which come back until they are answered")
+def start_long_load(world, stack):
+    world.load = Load(world.cluster, LOAD_CALLERS, TRANSIENT_CALLERS, LONG_WORK)
+    world.load.start()
+    stack.callback(world.load.stop)
+
+
 @when(
     parsers.re(
         r"a (?P<kind>stored|transient) job of (?P<tasks>\d+) tasks of "
--- a/tests/standins/caller.py
+++ b/tests/standins/caller.py
@@ -37,9 +37,11 @@
         return self.status in (200, 202)
 
 
-def job_of(tasks, run_ms, *, stored=True, cpu=1_000):
+def job_of(tasks, run_ms, *, stored=True, cpu=1_000, label=""):
     """Returns the body of a job of one step."""
     step = {"count": tasks, "cpu": cpu, "estimateMs": run_ms}
+    if label:
+        step["requiredLabel"] = label
     body = {"spec": json.dumps({"run_ms": run_ms}), "steps": [step]}
     return body if stored else body | {"bestEffort": True}
 
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -152,6 +152,18 @@
         self._processes[name].kill()
         self._history.record(ProcessEnded(process=name))
 
+    def kill_together(self, names):
+        """Ends processes at the same moment."""
+        for name in names:
+            self._processes[name].send_kill()
+        for name in names:
+            self.kill(name)
+
+    def start_together(self, names):
+        """Starts daemons that have ended, under their names and addresses."""
+        for name in names:
+            self.start_again(name)
+
     def replace(self, name):
         """Kills a daemon and starts it again under its name and addresses."""
         self.kill(name)
--- a/tests/standins/load.py
+++ b/tests/standins/load.py
@@ -1,36 +1,53 @@
 """Callers that hand in one job after the other, as behind a balancer."""
 
 import threading
+from dataclasses import dataclass
 
-from .caller import job_of
+from .caller import ANSWER_TIMEOUT_S, job_of
 from .calls import call
 
-__all__ = ["RESEND_S", "Load"]
+__all__ = ["RESEND_S", "Load", "Work"]
 
 PAUSE_S = 0.05
 RESEND_S = 1.3  # a caller hands a job in again this long after a lost answer
 TRIES = 6
 
 
+@dataclass(frozen=True, slots=True)
+class Work:
+    """The jobs that callers hand in, and how.
+
+    A caller leaves its first dispatcher after ``patience_s``, and waits for
+    ``pause_s`` between two jobs. A dispatcher that isn't ready counts as a try.
+    """
+
+    tasks: int = 2
+    run_ms: int = 50
+    label: str = ""
+    patience_s: float = ANSWER_TIMEOUT_S
+    pause_s: float = 0.0
+    tries: int = TRIES
+
+
 class Load:
     """Threads of callers, each of which uses the dispatchers that are ready, in turn.
 
     Every other job is stored, but for ``transient`` further callers that store none.
     ``told`` gathers (job id, stored, answer) of the last try of each job; a job
-    without an answer is handed in again elsewhere.
+    without an answer is handed in again elsewhere. The callers are numbered from
+    ``first``, and two loads have different numbers.
     """
 
-    def __init__(self, cluster, callers, transient=0, tasks=2, run_ms=50):
+    def __init__(self, cluster, callers, transient=0, work=None, first=0):
         self.told = []
         self._cluster = cluster
-        self._storing = range(callers)
+        self._storing = range(first, first + callers)
         self._names = list(cluster.layout.dispatcher_names)
-        self._tasks = tasks
-        self._run_ms = run_ms
+        self._work = work or Work()
         self._stopped = threading.Event()
         self._threads = [
             threading.Thread(target=self._submit_jobs, args=(number,), daemon=True)
-            for number in range(callers + transient)
+            for number in range(first, first + callers + transient)
         ]
 
     def start(self):
@@ -46,24 +63,28 @@
 
     def _submit_jobs(self, number):
         caller = self._cluster.caller(f"load-{number}")
+        leaver = self._cluster.caller(
+            f"leaver-{number}", patience_s=self._work.patience_s
+        )
         count = 0
         while not self._stopped.is_set():
             count += 1
             job_id = f"{number:08x}{count:08x}"
             stored = number in self._storing and count % 2 == 0
-            job = job_of(self._tasks, self._run_ms, stored=stored)
-            told = self._submit(caller, number + count, job_id, job)
+            told = self._submit(leaver, caller, number + count, job_id, stored)
             if told is not None:
                 self.told.append((job_id, stored, told))
+            self._stopped.wait(self._work.pause_s)
 
-    def _submit(self, caller, turn, job_id, job):
-        told = None
-        for offset in range(TRIES):
+    def _submit(self, leaver, caller, turn, job_id, stored):
+        work, told = self._work, None
+        job = job_of(work.tasks, work.run_ms, stored=stored, label=work.label)
+        for offset in range(work.tries):
             name = self._names[(turn + offset) % len(self._names)]
             if not self._is_ready(name):
                 self._stopped.wait(PAUSE_S)
                 continue
-            told = caller.submit(name, job_id, job)
+            told = (caller if told else leaver).submit(name, job_id, job)
             if told.status not in (0, 502, 504):
                 return told
             if not told.refused:
--- a/tests/standins/process.py
+++ b/tests/standins/process.py
@@ -58,9 +58,13 @@
         """What the process wrote to its standard error."""
         return self._errors.read_text()
 
+    def send_kill(self):
+        """Has the process end at once, without waiting for it."""
+        self._child.kill()
+
     def kill(self):
         """Ends the process at once."""
-        self._child.kill()
+        self.send_kill()
         self._child.wait()
 
     def freeze(self):
