--- a/tests/promises/conftest.py
+++ b/tests/promises/conftest.py
@@ -11,7 +11,7 @@
 from banyanwheel_client.errors import ClientError
 from banyanwheel_jobs.cells.cell import CELL_PLACERS
 from tests.standins.calls import in_thread
-from tests.standins.chaos import Chaos
+from tests.standins.chaos import mixed_chaos, play, wide_chaos
 from tests.standins.cluster import Cluster
 from tests.standins.history import LeaseLapsed, TaskStarted
 from tests.standins.layout import Layout
@@ -25,6 +25,9 @@
     "garbage": True,
     "lose_start_answers": 4,
     "slow_factor": 10.0,
+    "refuse_starts": True,
+    "late_share": 0.5,
+    "late_stop_share": 1.0,
 }
 PROXY_FAULTS = {
     "lose_answers": 1,
@@ -78,9 +81,23 @@
     return World(stack.enter_context(Cluster(layout, tmp_path)))
 
 
+@given(
+    parsers.parse(
+        "a system of {dispatchers:d} dispatchers and {runners:d} runners, with proxies "
+        "and unlike workers"
+    ),
+    target_fixture="world",
+)
+def start_uneven_system(stack, tmp_path, dispatchers, runners):
+    layout = Layout.uneven(dispatchers, runners)
+    return World(stack.enter_context(Cluster(layout, tmp_path)))
+
+
 @given(parsers.parse("every worker has the fault {fault}"))
 @when(parsers.parse("every worker has the fault {fault}"))
 def break_workers(world, fault):
+    if fault == "none":
+        return
     for name in world.cluster.layout.runner_names:
         break_worker(world, name.replace("runner", "worker"), fault)
 
@@ -188,13 +205,27 @@
 
 @when("every process is killed at once and started again")
 def kill_all(world):
-    for name in world.cluster.daemons:
-        world.cluster.kill(name)
-    for name in world.cluster.daemons:
-        world.cluster.start_again(name)
+    world.cluster.kill_together(world.cluster.daemons)
+    world.cluster.start_together(world.cluster.daemons)
     world.cluster.wait_ready()
 
 
+@when(
+    parsers.re(
+        r"every dispatcher(?P<runners> and every runner)? is killed at once, "
+        r"and started again, (?P<times>\d+) times, (?P<seconds>\d+) s apart"
+    ),
+    converters={"runners": bool, "times": int, "seconds": int},
+)
+def kill_herd(world, runners, times, seconds):
+    layout = world.cluster.layout
+    herd = world.cluster.daemons if runners else layout.dispatcher_names
+    for _ in range(times):
+        world.cluster.kill_together(herd)
+        world.cluster.start_together(herd)
+        time.sleep(seconds)
+
+
 @when(parsers.parse("the lease of {worker} has lapsed"))
 def wait_for_lapse(world, worker):
     world.cluster.wait_for_event(LeaseLapsed, process=worker)
@@ -271,22 +302,17 @@
     converters={"count": int, "seed": int, "restarts": bool},
 )
 def run_chaos(world, count, seed, restarts):
-    numbers = list(range(1, world.cluster.layout.runners + 1))
-    halves = numbers[::2], numbers[1::2]
-    chaos = [
-        Chaos(
-            world.cluster,
-            half,
-            count,
-            seed * len(halves) + index,
-            restarts=restarts,
-        )
-        for index, half in enumerate(halves)
-    ]
-    for one in chaos:
-        one.start()
-    for one in chaos:
-        one.join()
+    play(mixed_chaos(world.cluster, count, seed, restarts=restarts))
+
+
+@when(
+    parsers.parse(
+        "{count:d} faults each hit the daemons, the workers and the network with the "
+        "seed {seed:d}"
+    )
+)
+def run_wide_chaos(world, count, seed):
+    play(wide_chaos(world.cluster, count, seed))
 
 
 @when("an operator publishes a version")
--- a/tests/promises/submissions.py
+++ b/tests/promises/submissions.py
@@ -4,10 +4,12 @@
 
 from pytest_bdd import given, parsers, when
 
-from tests.standins.load import Load
+from tests.standins.layout import RARE_LABEL
+from tests.standins.load import Load, WideLoad, Work
 
 LOAD_CALLERS = 4
 TRANSIENT_CALLERS = 2  # stored jobs get no answer while the log is away
+LONG_WORK = Work(run_ms=2_000, tries=100)
 
 
 @given("callers that submit jobs all the time")
@@ -17,6 +19,20 @@
     stack.callback(world.load.stop)
 
 
+@given("callers of many kinds")
+def start_wide_load(world, stack):
+    world.load = WideLoad(world.cluster, RARE_LABEL)
+    world.load.start()
+    stack.callback(world.load.stop)
+
+
+@given("callers of long jobs, which come back until they are answered")
+def start_long_load(world, stack):
+    world.load = Load(world.cluster, LOAD_CALLERS, TRANSIENT_CALLERS, LONG_WORK)
+    world.load.start()
+    stack.callback(world.load.stop)
+
+
 @when(
     parsers.re(
         r"a (?P<kind>stored|transient) job of (?P<tasks>\d+) tasks of "
@@ -38,6 +54,26 @@
         world.leave_for_others(frozen, count)
 
 
+@when(
+    parsers.parse(
+        "callers submit {count:d} transient jobs of {tasks:d} tasks of {run_ms:d} ms, "
+        "and these begin"
+    )
+)
+def submit_and_leave(world, count, tasks, run_ms):
+    world.submit_and_leave(count, tasks, run_ms)
+
+
+@when("those callers leave, and come back elsewhere")
+def come_back(world):
+    world.come_back()
+
+
+@when("those callers are answered")
+def wait_for_leavers(world):
+    assert all(told.status for told in world.told), world.told
+
+
 @when(
     parsers.parse(
         "a stored job of {tasks:d} tasks of {run_ms:d} ms is submitted "
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -152,6 +152,18 @@
         self._processes[name].kill()
         self._history.record(ProcessEnded(process=name))
 
+    def kill_together(self, names):
+        """Ends processes at the same moment."""
+        for name in names:
+            self._processes[name].send_kill()
+        for name in names:
+            self.kill(name)
+
+    def start_together(self, names):
+        """Starts daemons that have ended, under their names and addresses."""
+        for name in names:
+            self.start_again(name)
+
     def replace(self, name):
         """Kills a daemon and starts it again under its name and addresses."""
         self.kill(name)
@@ -349,6 +361,8 @@
 
     def _launch_worker(self, runner, first_heartbeat_ms=0):
         name = runner.replace("runner", "worker")
+        number = int(name.rpartition("-")[2]) - 1
+        cpus, labels = self.layout.worker_cpu, self.layout.worker_labels
         worker = self._stand_ins.launch(
             "platform_worker",
             name=name,
@@ -357,6 +371,8 @@
             task_ms=self.layout.task_ms,
             listen=self._addresses[runner]["worker"],
             first_heartbeat_ms=first_heartbeat_ms,
+            cpu=cpus[number % len(cpus)],
+            label=labels[number % len(labels)],
         )
         return self._launch(name, worker)
 
--- a/tests/standins/platform_worker.py
+++ b/tests/standins/platform_worker.py
@@ -4,19 +4,21 @@
 import contextlib
 import time
 from dataclasses import dataclass, field
+from random import Random
 
 import msgspec
 import typer
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 from tornado.httpserver import HTTPServer
 from tornado.locks import Condition
-from tornado.web import Application
+from tornado.web import Application, Finish
 
 from .history import (
     EndTaken,
     History,
     LeaseLapsed,
     LeaveAnnounced,
+    StoodStill,
     TaskEnded,
     TaskStarted,
 )
@@ -33,16 +35,20 @@
 
 HEARTBEAT_S = 0.5
 LOOK_S = 0.01
+STOOD_STILL_S = 0.1  # told in the history
 HOLD_MAX_MS = 1_000
 SILENCE_S = 30.0
-CAPACITY = {"cpu": 4_000, "memMb": 4_096, "gpu": 0}
+LATE_S = (2.0, 12.0)  # an unanswered order is carried out so much later
+MEMORY_MB = 4_096
 
 
 class WorkerFaults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Faults of a worker; ``lose_start_answers`` counts down.
 
     ``hang`` lets runs stand still, ``slow_factor`` takes effect at a start. A lost
-    answer is that of a start that was carried out.
+    answer is that of a start that was carried out. ``late_share`` of all orders, or
+    ``late_stop_share`` of the stops, get no answer and are carried out later; ``seed``
+    decides which ones, and when.
     """
 
     hang: bool = False
@@ -51,6 +57,10 @@
     silent: bool = False
     garbage: bool = False
     lose_start_answers: int = 0
+    refuse_starts: bool = False
+    late_share: float = 0.0
+    late_stop_share: float = 0.0
+    seed: int = 0
 
 
 @dataclass
@@ -73,6 +83,8 @@
     name: str
     task_ms: int
     history: History | None
+    cpu: int = 4_000
+    label: str = "a"
     faults: WorkerFaults = WorkerFaults()
     fence: int = 0
     deadline_ms: int = 0
@@ -88,6 +100,7 @@
     changed: Condition = field(default_factory=Condition)
     born: int = field(default_factory=lambda: int(time.time() * 1000))
     began: float = field(default_factory=time.monotonic)
+    random: Random = field(default_factory=Random)
 
     @property
     def clock_ms(self):
@@ -95,6 +108,14 @@
 
     def set_faults(self, faults):
         self.faults = faults
+        self.random.seed(f"{faults.seed}-{self.name}")
+
+    def late_s(self, order):
+        """Returns how much later an order is carried out without an answer, or 0."""
+        share = self.faults.late_share
+        if order == self.stop:
+            share = max(share, self.faults.late_stop_share)
+        return self.random.uniform(*LATE_S) if self.random.random() < share else 0.0
 
     def record(self, kind, *key, **fields):
         if self.history is not None:
@@ -111,22 +132,27 @@
         now = self.clock_ms
         if not self.lapsed and self.deadline_ms < now:
             self.lapsed = True
-            self.record(LeaseLapsed)
+            self.record(LeaseLapsed, at=self.time_of(self.deadline_ms))
         for key, run in list(self.running.items()):
             if self.faults.hang:
                 run.held_up_ms += now - max(self.settled_at, run.began)
-            if run.ends + run.held_up_ms <= now:
-                self.end(key, "failed" if self.faults.fail_all else "done")
-            elif self.lapsed:
-                self.end(key, "lapsed")
+            ends = run.ends + run.held_up_ms
+            if self.lapsed and self.deadline_ms < ends:
+                self.end(key, "lapsed", self.deadline_ms)
+            elif ends <= now:
+                self.end(key, "failed" if self.faults.fail_all else "done", ends)
         self.settled_at = now
 
-    def end(self, key, how):
+    def time_of(self, clock_ms):
+        """Returns the time of a reading of its clock that has passed."""
+        return min(time.monotonic(), self.began + clock_ms / 1000)
+
+    def end(self, key, how, ended_ms):
         del self.running[key]
         self.number += 1
         self.finished.append([self.number, *key, how, ""])
         self.over[key[0]] = max(self.over.get(key[0], 0), key[1])
-        self.record(TaskEnded, *key, how=how)
+        self.record(TaskEnded, *key, how=how, at=self.time_of(ended_ms))
         self.changed.notify_all()
 
     def take(self, cursor):
@@ -136,9 +162,17 @@
                 self.record(EndTaken, task, run, how=how)
         self.finished = [row for row in self.finished if row[0] > cursor]
 
+    def obey(self, order, body):
+        """Carries out an order; what is over by then has ended before."""
+        self.settle()
+        return order(body)
+
+    # Orders; they return (status, reason).
+
     def start(self, body):
-        """Returns (status, reason)."""
         task, run = body["task"], body["run"]
+        if self.faults.refuse_starts:
+            return 503, ""
         if body["fence"] < self.fence:
             return 409, "fence"
         self.fence = body["fence"]
@@ -156,6 +190,24 @@
         self.record(TaskStarted, task, run)
         return 200, ""
 
+    def stop(self, body):
+        key = (body["task"], body["run"])
+        if body["fence"] >= self.fence:
+            self.fence = body["fence"]
+            self.over[key[0]] = max(self.over.get(key[0], 0), key[1])
+            if key in self.running:
+                self.end(key, "stopped", self.clock_ms)
+        return 200, ""
+
+    def hold(self, body):
+        if body["fence"] < self.fence:
+            return 409, "fence"
+        self.fence = body["fence"]
+        self.take(body["ackCursor"])
+        if "deadlineMs" in body:
+            self.extend(body["deadlineMs"])
+        return 200, ""
+
     def length_ms(self, spec):
         """Reads the run time out of a spec such as ``{"run_ms": 50}``."""
         with contextlib.suppress(msgspec.MsgspecError):
@@ -182,10 +234,21 @@
     def body(self):
         return msgspec.json.decode(self.request.body)
 
+    async def carry_out(self, order):
+        """Carries out an order, which may happen late and without an answer."""
+        delay_s = self.worker.late_s(order)
+        if not delay_s:
+            return self.worker.obey(order, self.body())
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self.worker.obey, order, self.body())
+        await asyncio.sleep(SILENCE_S)
+        self.cut()
+        raise Finish
+
 
 class Start(Handler):
-    def post(self):
-        status, reason = self.worker.start(self.body())
+    async def post(self):
+        status, reason = await self.carry_out(self.worker.start)
         lost, self.worker.faults = count_down(self.worker.faults, "lose_start_answers")
         if lost:
             self.cut()
@@ -194,28 +257,18 @@
 
 
 class Stop(Handler):
-    def post(self):
-        body = self.body()
-        key = (body["task"], body["run"])
-        worker = self.worker
-        if body["fence"] >= worker.fence:
-            worker.fence = body["fence"]
-            worker.over[key[0]] = max(worker.over.get(key[0], 0), key[1])
-            if key in worker.running:
-                worker.end(key, "stopped")
+    async def post(self):
+        await self.carry_out(self.worker.stop)
         self.answer()
 
 
 class Hold(Handler):
     async def post(self):
         worker, body = self.worker, self.body()
-        if body["fence"] < worker.fence:
-            self.answer(409, reason="fence")
+        status, reason = await self.carry_out(worker.hold)
+        if status != 200:
+            self.answer(status, reason=reason)
             return
-        worker.fence = body["fence"]
-        worker.take(body["ackCursor"])
-        if "deadlineMs" in body:
-            worker.extend(body["deadlineMs"])
         if body.get("waitMs") and not worker.finished:
             await worker.changed.wait(timeout=time.time() + body["waitMs"] / 1000)
         now = worker.clock_ms
@@ -248,8 +301,8 @@
             "slots": 8,
             "state": "draining" if draining else "ready",
             "warmupLeftMs": 0,
-            "capacity": CAPACITY,
-            "labels": ["a", "r-1"],
+            "capacity": {"cpu": worker.cpu, "memMb": MEMORY_MB, "gpu": 0},
+            "labels": [worker.label, "r-1"],
             "clockMs": worker.clock_ms,
             "seq": sequence,
             "born": worker.born,
@@ -270,7 +323,13 @@
 
 
 async def _settle(worker):
+    looked_at, used_s = time.monotonic(), time.process_time()
     while True:
+        seconds = time.monotonic() - looked_at
+        processor_s = time.process_time() - used_s
+        if seconds > STOOD_STILL_S:
+            worker.record(StoodStill, seconds=seconds, processor_s=processor_s)
+        looked_at, used_s = time.monotonic(), time.process_time()
         worker.settle()
         await asyncio.sleep(LOOK_S)
 
@@ -282,6 +341,8 @@
     history: str = "",
     listen: str = "127.0.0.1:0",
     first_heartbeat_ms: int = 0,
+    cpu: int = 4_000,
+    label: str = "a",
 ):
     """Serves a worker whose heartbeats go to ``runner``.
 
@@ -289,7 +350,8 @@
     """
 
     async def serve(terminated):
-        worker = Worker(name, task_ms, History(history) if history else None)
+        written = History(history) if history else None
+        worker = Worker(name, task_ms, written, cpu, label)
         options = {"worker": worker}
         routes = [
             ("/run-start", Start, options),
