Confirm a forwarded job by the time of the list that names it

Callers would see: a task runs twice at once after a connection between two dispatchers was replaced.

Cause: a placer confirmed the jobs on a list by the newest message of their entry, not by that list. One that arrived late, after a newer list that no longer named a job, gave that job the newer time, if the message that abandons it was lost too.

--- a/packages/jobs/banyanwheel_jobs/cells/forwarding.py
+++ b/packages/jobs/banyanwheel_jobs/cells/forwarding.py
@@ -286,7 +286,7 @@
                 self._send(entry, state.answers[number][1])
             elif number in state.jobs:
                 job_id, _ = state.jobs[number]
-                self._owner.confirm_transient(job_id, state.confirmed_at)
+                self._owner.confirm_transient(job_id, message.sent_at_ms / 1000)
             else:
                 unknown.append(number)
         if unknown:
--- a/tests/jobs/cells/test_forwarding.py
+++ b/tests/jobs/cells/test_forwarding.py
@@ -5,11 +5,11 @@
 
 from banyanwheel_jobs.authority import TRANSIENT_AUTHORITY_S
 from banyanwheel_jobs.cells.forwarding import HostedJobs
-from banyanwheel_jobs.messages import RunJob
+from banyanwheel_jobs.messages import JobsOpen, RunJob
 from banyanwheel_jobs.model import Step, Submission
 from banyanwheel_jobs.outcomes import Outcome
 
-from ..world import QUEUE, EventRecorder, lone_owner
+from ..world import QUEUE, TASK, EventRecorder, lone_owner
 from .entry_world import CALLER_RETRY_S, EntryWorld
 
 JOB = "a" * 16
@@ -258,6 +258,24 @@
     assert not owner.has_waiting_jobs
 
 
+# Guards against two runs of a task at once: a list of open jobs that arrived late over
+# a replaced connection confirmed a job that its entry had given up meanwhile.
+def test_an_old_list_of_open_jobs_confirms_them_for_its_own_time_only():
+    owner = lone_owner()
+    entry, answers = ("entry", "entry#1"), []
+    hosted = HostedJobs(
+        owner,
+        send=lambda entry, message: answers.append(message),
+        placing=lambda: True,
+        event_log=EventRecorder(),
+    )
+    submission = Submission(JOB, QUEUE, "", (Step(1, TASK, 50),), 0, transient=True)
+    hosted.handle_run(entry, RunJob(1, submission, 0, 350, 60_000), 0.0)
+    hosted.handle_open(entry, JobsOpen(900, ()), 0.9)
+    hosted.handle_open(entry, JobsOpen(200, (1,)), 0.95)
+    assert owner.transient.jobs[JOB].confirmed_at == 0.2
+
+
 def test_a_placer_that_ends_tells_the_entries_of_its_open_jobs():
     world = warm_world(run_s=5.0)
     world.submit_at("entry-0", JOB)
