--- a/tests/daemon/test_runner.py
+++ b/tests/daemon/test_runner.py
@@ -9,7 +9,7 @@
 from banyanwheel_daemon.context import Environment
 from banyanwheel_daemon.runner import RunnerRole
 from banyanwheel_daemon.settings import Log, Process, RunnerSettings, Worker
-from banyanwheel_jobs.messages import Assignment, StartTasks
+from banyanwheel_jobs.messages import Assignment, Heartbeat, StartTasks
 from banyanwheel_jobs.model import TRANSIENT_PARTITION, Resources, TaskId
 from banyanwheel_jobs.ports import WorkerHeartbeat
 from tests.jobs.world import EventRecorder
@@ -46,6 +46,8 @@
 
 
 class NoPeers:
+    incarnation = "present"
+
     def reply(self, address, incarnation, message):
         pass
 
@@ -91,3 +93,14 @@
     assert role._runner.busy
     stop(role)
     assert role._members.removed == []
+
+
+@pytest.mark.parametrize("runner", ["present", "former"])
+def test_stamps_of_a_former_process_extend_no_authority(role, runner):
+    """Its machine may have started again since, so that they are of another clock."""
+    until = role._runner._authority.until
+    role._receive(*OWNER, Heartbeat(((0, 1),), 5_000, 5_000, runner))
+    authorized = runner == "present"
+    assert (until(0) > 0) is authorized
+    assert (until(TRANSIENT_PARTITION, OWNER) > 0) is authorized
+    assert role._runner._authority.epoch(0) == 1
--- a/tests/jobs/cells/test_forwarding.py
+++ b/tests/jobs/cells/test_forwarding.py
@@ -4,8 +4,15 @@
 from hypothesis import HealthCheck, given, settings, strategies as st
 
 from banyanwheel_jobs.authority import TRANSIENT_AUTHORITY_S
-from banyanwheel_jobs.cells.forwarding import HostedJobs
-from banyanwheel_jobs.messages import JobsOpen, RunJob
+from banyanwheel_jobs.cells.forwarding import ForwardedJobs, HostedJobs
+from banyanwheel_jobs.cells.placers import Placers
+from banyanwheel_jobs.messages import (
+    Claims,
+    JobsAbandoned,
+    JobsOpen,
+    JobsUnknown,
+    RunJob,
+)
 from banyanwheel_jobs.model import Step, Submission
 from banyanwheel_jobs.outcomes import Outcome
 
@@ -276,6 +283,39 @@
     assert owner.transient.jobs[JOB].confirmed_at == 0.2
 
 
+def test_an_entry_that_starts_again_uses_the_numbers_of_the_one_before():
+    """Each counts from 1, so that a number alone names no job."""
+    owner = lone_owner()
+    hosted = HostedJobs(owner, lambda *message: None, lambda: True, EventRecorder())
+    former, present = ("entry", "entry#1"), ("entry", "entry#2")
+    for entry, job_id in ((former, JOB), (present, "b" * 16)):
+        submission = Submission(
+            job_id, QUEUE, "", (Step(1, TASK, 50),), 0, transient=True
+        )
+        hosted.handle_run(entry, RunJob(1, submission, 0, 350, 60_000), 0.0)
+    assert len(hosted) == 2
+    hosted.handle_abandoned(former, JobsAbandoned((1,)))
+    assert list(owner.transient.jobs) == ["b" * 16]
+
+
+def test_a_job_is_unknown_to_the_placer_that_it_was_sent_to_alone():
+    placers, rerouted = Placers(), []
+    placers.hear("placer", "placer#1", Claims((), {}, sent_at_ms=1_000), 1.0)
+    forwarded = ForwardedJobs(
+        iter([1]),
+        lambda *message: None,
+        placers.is_silent,
+        lambda submission, tried: rerouted.append(tried),
+        EventRecorder(),
+    )
+    submission = Submission(JOB, QUEUE, "", (Step(1, TASK, 50),), 0, transient=True)
+    forwarded.start(submission, None, placers.get("placer"), 1.0, 9.0)
+    forwarded.handle_unknown("other", JobsUnknown(5_000, (1,)))
+    assert rerouted == []
+    forwarded.handle_unknown("placer", JobsUnknown(5_000, (1,)))
+    assert rerouted == [{"placer"}]
+
+
 def test_a_placer_that_ends_tells_the_entries_of_its_open_jobs():
     world = warm_world(run_s=5.0)
     world.submit_at("entry-0", JOB)
--- a/tests/jobs/placing/test_runner_view.py
+++ b/tests/jobs/placing/test_runner_view.py
@@ -38,3 +38,10 @@
 
 def test_room_that_has_been_used_again_is_not_free():
     assert not view(False, 4_000, 1_000).room_for(TASK)
+
+
+def test_a_report_that_a_newer_one_has_overtaken_is_rejected():
+    view = RunnerView("runner", "dc")
+    assert not view.reject_stale("present", 2_000)
+    assert view.reject_stale("present", 1_000)
+    assert not view.reject_stale("next", 1_000)
--- a/tests/jobs/runners/test_runner.py
+++ b/tests/jobs/runners/test_runner.py
@@ -1,5 +1,7 @@
 """How a runner handles messages and events that fall between two of its steps."""
 
+from dataclasses import replace
+
 import msgspec
 import pytest
 
@@ -135,6 +137,22 @@
     assert runner.report(ORIGIN, world.now).ends == ()
 
 
+def test_a_heartbeat_that_a_newer_one_has_overtaken_is_ignored(world):
+    runner = world.runners["runner-0"]
+    newest = runner.worker
+    late = replace(newest, sequence=newest.sequence - 1, draining=True)
+    assert not runner.announce(late, world.now)
+    assert runner.worker is newest
+
+
+def test_a_reading_of_the_clock_that_a_newer_one_has_overtaken_is_ignored(world):
+    """Leases would be too short, and lapse under running tasks."""
+    runner = world.runners["runner-0"]
+    clock_ms, read_at = runner._worker_clock
+    runner.update_worker_clock(clock_ms - 1, world.now + 1)
+    assert runner._worker_clock == (clock_ms, read_at)
+
+
 def test_a_start_to_an_unresponsive_worker_returns_to_waiting(world):
     runner = send_assignment(world)
     (run,) = runner.begin_due_starts(world.now)
@@ -229,6 +247,30 @@
     assert refusal(world, runner) == "outdated"
 
 
+@pytest.mark.parametrize(("partition", "epoch"), [(0, 2), (TRANSIENT_PARTITION, 0)])
+def test_a_stop_of_another_owner_leaves_a_run_as_it_is(world, partition, epoch):
+    """A stored job's former owner names a lower epoch, a transient job's has none."""
+    runner = world.runners["runner-0"]
+    heartbeat = Heartbeat(((0, 2),), 0, 0, world.incarnation("runner-0"))
+    runner.handle_dispatcher_heartbeat(ORIGIN, heartbeat, world.now)
+    send_assignment(world, partition=partition, epoch=epoch)
+    former = StopTasks(partition, max(0, epoch - 1), (TaskRun(TASK_ID, 1),))
+    runner.handle_stop(("owner-1", "owner-1#1"), former, world.now)
+    assert not any(run.stop_requested for run in runner._runs.values())
+    assert runner.run_count == 1
+
+
+def test_a_job_is_confirmed_by_the_dispatcher_that_sent_it_alone(world):
+    runner = send_assignment(world, confirmed_ms=round(world.now * 1000))
+    (run,) = runner._runs.values()
+    until, stamp = run.confirmed_until, round(world.now * 1000) + 500
+    heartbeat = Heartbeat((), 0, 0, "", ((TASK_ID.job, stamp),))
+    runner.handle_dispatcher_heartbeat(("owner-0", "owner-0#0"), heartbeat, world.now)
+    assert run.confirmed_until == until
+    runner.handle_dispatcher_heartbeat(ORIGIN, heartbeat, world.now)
+    assert run.confirmed_until == pytest.approx(until + 0.5)
+
+
 def test_a_start_that_reaches_its_worker_late_starts_nothing(paired_world):
     """By then the owner knows that the task was not started, and starts it again."""
     world = paired_world
