The scenario of a frozen runner gives every worker tasks

Cause, from its files: the 8 tasks lay on worker-2 and worker-3, 4 on each, and worker-1 had none. Its lease lapsed all the same before, since a runner renewed it with its first poll; no lease is renewed for an idle worker any more. So in such runs the scenario had shown nothing.

--- a/tests/features/jobs.feature
+++ b/tests/features/jobs.feature
@@ -118,8 +118,8 @@
 
   @at-most-once @whole-answer
   Scenario: A runner is frozen until its lease lapses and goes on
-    When a stored job of 8 tasks of 4000 ms is submitted to dispatcher-1
-    And 8 tasks have started
+    When a stored job of 11 tasks of 4000 ms is submitted to dispatcher-1
+    And 11 tasks have started
     And runner-1 is frozen
     And the lease of worker-1 has lapsed
     And runner-1 goes on
