--- a/packages/daemon/banyanwheel_daemon/runner.py
+++ b/packages/daemon/banyanwheel_daemon/runner.py
@@ -16,7 +16,7 @@
     WorkerReplaced,
     WorkerUnavailable,
 )
-from banyanwheel_jobs.runners.runner import INCARNATION_TIMEOUT_S, Runner
+from banyanwheel_jobs.runners.runner import Runner
 from banyanwheel_platform.heartbeats import HeartbeatServer
 from banyanwheel_platform.log import LogClient
 
@@ -24,6 +24,7 @@
 from .members import Member, Members
 from .peers import Peers
 from .role import RUNNER, Role
+from .worker_heartbeats import WorkerHeartbeats
 from .worker_verifier import WorkerVerifier
 
 __all__ = ["RunnerRole", "run"]
@@ -39,7 +40,7 @@
 STOP_MARGIN_S = 0.7  # between the shutdown deadline and the platform's kill
 
 
-class RunnerRole(Role):
+class RunnerRole(WorkerHeartbeats, Role):
     """One runner process.
 
     An owner is identified by its (address, incarnation).
@@ -127,62 +128,6 @@
 
     # The worker
 
-    def _handle_worker_heartbeat(self, heartbeat):
-        if not self._names_worker(heartbeat):
-            self._verifier.verify(heartbeat)
-        elif self._contradicts_worker(heartbeat):
-            self._refuse_heartbeat(heartbeat, "other-writer")
-        else:
-            self._announce(heartbeat)
-
-    def _names_worker(self, heartbeat):
-        worker = self._runner.worker
-        return worker is not None and worker.incarnation == heartbeat.incarnation
-
-    def _contradicts_worker(self, heartbeat):
-        """Whether a heartbeat names the worker's life with another service or address.
-
-        These hold for a whole life. Such a heartbeat counts once the worker's own ones
-        stay away.
-        """
-        worker = self._runner.worker
-        same_service = heartbeat.service == worker.service
-        return not (same_service and heartbeat.address == worker.address) and (
-            boot_time() - self._announced_at < INCARNATION_TIMEOUT_S
-        )
-
-    def _refuse_heartbeat(self, heartbeat, reason):
-        self.event_log(
-            "heartbeat:refused",
-            incarnation=heartbeat.incarnation,
-            service=heartbeat.service,
-            address=heartbeat.address,
-            reason=reason,
-        )
-        self.event_log.count("banyanwheel.heartbeats.refused", reason)
-
-    def _use_worker(self, heartbeat, client):
-        """Uses a worker that has answered, unless the present one is a later life."""
-        if self._names_worker(heartbeat):  # by another heartbeat, meanwhile
-            client.close()
-            self._handle_worker_heartbeat(heartbeat)
-            return
-        if not self._announce(heartbeat):
-            client.close()
-            return
-        if self._client is not None:
-            self._client.close()
-        self._client = client
-        self._poll_wakeup.set()
-
-    def _announce(self, heartbeat):
-        """Passes a heartbeat of the worker on; returns whether a new life begins."""
-        begun = self._runner.announce(heartbeat, boot_time())
-        if self._runner.worker is heartbeat:
-            self._announced_at = boot_time()
-        self._report_to_all()
-        return begun
-
     def _handle_worker_left(self, worker_id):
         worker = self._runner.worker
         if worker is not None and worker.worker_id == worker_id:
@@ -217,6 +162,7 @@
                 self._report_to_all()
 
     def _must_poll(self):
+        """Whether there is anything to renew, to learn, or a clock to read again."""
         runner = self._runner
         if runner.needs_polling:
             return runner.should_renew_lease
--- a/packages/jobs/banyanwheel_jobs/runners/lease.py
+++ b/packages/jobs/banyanwheel_jobs/runners/lease.py
@@ -7,10 +7,10 @@
 from ..authority import CLOCK_DRIFT_FACTOR
 from .runs import RunState
 
-__all__ = ["LEASE_EXPIRY_MARGIN_S", "MAX_LEASE_S", "MIN_RUN_S", "STOP_TIME_S", "Lease"]
+__all__ = ["LEASE_EXPIRY_MARGIN_S", "MAX_LEASE_S", "Lease"]
 
-LEASE_EXPIRY_MARGIN_S = 0.15
-# A run starts only if its authority covers the lease in force, which can't be undone.
+LEASE_EXPIRY_MARGIN_S = 0.15  # timers may fire late, on either side
+# A run starts only if its authority covers the lease in force, as no lease can be cut.
 # Assignments come with an authority that is 0.2 s old at most, so they nearly all do.
 MAX_LEASE_S = 0.9
 CLOCK_MAX_AGE_S = 5.0  # a lease is shorter by 2% of the age of the reading
--- a/tests/daemon/test_foreign_heartbeats.py
+++ b/tests/daemon/test_foreign_heartbeats.py
@@ -8,7 +8,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
-from banyanwheel_daemon import runner as runner_module
+from banyanwheel_daemon import worker_heartbeats
 from banyanwheel_daemon.addresses import Address
 from banyanwheel_daemon.clocks import boot_time
 from banyanwheel_daemon.context import Environment
@@ -187,7 +187,7 @@
 @pytest.fixture(autouse=True)
 def patient(monkeypatch):
     """Has no worker count as silent, however slow the machine is."""
-    monkeypatch.setattr(runner_module, "INCARNATION_TIMEOUT_S", 3_600)
+    monkeypatch.setattr(worker_heartbeats, "INCARNATION_TIMEOUT_S", 3_600)
 
 
 def play(scenario):
@@ -316,7 +316,7 @@
 
 
 def test_another_service_counts_once_the_worker_has_been_silent(monkeypatch):
-    monkeypatch.setattr(runner_module, "INCARNATION_TIMEOUT_S", 0)
+    monkeypatch.setattr(worker_heartbeats, "INCARNATION_TIMEOUT_S", 0)
 
     async def scenario(site):
         await site.put_own(1, service="unnamed")
