--- a/tests/jobs/test_state_machine.py
+++ b/tests/jobs/test_state_machine.py
@@ -203,7 +203,7 @@
         self.world.leave(owner, submission.job_id)
         self.pass_time(RESUBMISSION_S)
         other = next(name for name in OWNERS if name != owner)
-        self.world.resubmit(other, submission)
+        self.world.hand_in(other, submission)
         self.submit_and_wait(wait)
 
     @when("restart")
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -395,9 +395,9 @@
             round(self.now * 1000),
             transient=True,
         )
-        self.resubmit(owner, submission, deadline_s)
+        self.hand_in(owner, submission, deadline_s)
 
-    def resubmit(self, owner, submission, deadline_s=5.0):
+    def hand_in(self, owner, submission, deadline_s=5.0):
         """Submits a transient job as its caller does, the first time or again."""
         self.transient.add(submission.job_id)
         replies = self.replies.setdefault(submission.job_id, [])
