Tests: startup signals don't depend on how the test run was started

Each child now starts with the default action, which makes the check as strict under nohup as without it.

--- a/tests/daemon/test_startup_signals.py
+++ b/tests/daemon/test_startup_signals.py
@@ -84,6 +84,7 @@
             stdout=subprocess.PIPE,
             stderr=subprocess.PIPE,
             text=True,
+            preexec_fn=restore_hangup,
         )
         children.append(child)
         return child
@@ -95,6 +96,11 @@
             child.communicate()
 
 
+def restore_hangup():
+    """Undoes what a child inherits if the tests run under nohup: SIGHUP ignored."""
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+
+
 def start_and_signal(start, number, delay_s):
     """Starts a process and sends it a signal after a delay."""
     child = start("-m", "banyanwheel_daemon.service")
