--- a/packages/jobs/banyanwheel_jobs/ports.py
+++ b/packages/jobs/banyanwheel_jobs/ports.py
@@ -123,10 +123,10 @@
         """
 
     async def newest(self, topic, partition):
-        """Returns the newest record of each key, and the offset after the last one."""
+        """Returns the newest record of each key, and the offset to follow from."""
 
-    async def follow(self, topic, partition, offset):
-        """Returns the records from an offset on; waits until there is one."""
+    async def follow(self, topic, partition, offset, hold_ms):
+        """Returns the records from an offset on; waits ``hold_ms`` for one."""
 
     async def join(self, group, member, topic, generation):
         """Joins a group or renews a membership; returns a Membership."""
--- a/tests/platform/test_log.py
+++ b/tests/platform/test_log.py
@@ -26,12 +26,17 @@
 
 def call_answered_with(body, call):
     """Calls a log that answers any call with ``body``; returns the error raised."""
+    return call_answered_by(lambda request: answer(request, 200, body), call)
+
+
+def call_answered_by(handle, call):
+    """Calls a log whose requests ``handle`` answers; returns the error raised."""
 
     async def run():
         ports = Ports()
         address = ports.reserve()
         host, _, port = address.rpartition(":")
-        server = HTTPServer(lambda request: answer(request, 200, body))
+        server = HTTPServer(handle)
         server.listen(int(port), host)
         ports.close()
         try:
@@ -72,6 +77,22 @@
         assert "unreadable answer" in str(error)
 
 
+def test_records_that_come_between_two_pages_are_followed():
+    """The change of a key of the first page was passed over for good."""
+    pages = [
+        b'{"items": [{"key": "a", "offset": 4}], "end": 5, "hasMore": true}',
+        b'{"items": [{"key": "b", "offset": 2}], "end": 6}',
+    ]
+    told = []
+
+    async def read(log):
+        told.append(await log.newest("t", 0))
+
+    assert call_answered_by(lambda r: answer(r, 200, pages.pop(0)), read) is None
+    ((records, end),) = told
+    assert ([record.key for record in records], end) == (["a", "b"], 5)
+
+
 @pytest.fixture
 def log(address):
     return LogClient(address)
