Runner: refuse starts while evacuated, and start slowly afterwards

An evacuated runner reports that it accepts nothing, refuses assignments, ends the runs that it has not sent to the worker, and sends no start that was due just before. Runs on the worker go on.

Once the evacuation is lifted the worker may be cold.

--- a/packages/jobs/banyanwheel_jobs/outcomes.py
+++ b/packages/jobs/banyanwheel_jobs/outcomes.py
@@ -3,10 +3,12 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["RETRY_AFTER_MS", "Outcome", "Reply"]
+__all__ = ["EVACUATED", "RETRY_AFTER_MS", "Outcome", "Reply"]
 
 # By then the log usually answers again, or the partition has a new owner.
 RETRY_AFTER_MS = 1_000
+# The reason of a refusal by a dispatcher whose suitable workers are all evacuated.
+EVACUATED = "evacuated"
 
 
 class Outcome(StrEnum):
@@ -27,9 +29,11 @@
 class Reply:
     """The reply to a caller's request.
 
-    ``state`` is the state of the job, empty if the outcome has none.
+    ``state`` is the state of the job, empty if the outcome has none. ``reason`` says
+    why a job was refused, where that decides about another try.
     """
 
     outcome: Outcome
     state: str = ""
     retry_ms: int = 0
+    reason: str = ""
--- a/packages/jobs/banyanwheel_jobs/runners/lease.py
+++ b/packages/jobs/banyanwheel_jobs/runners/lease.py
@@ -85,9 +85,10 @@
     def start_deadline_ms(self, run, now):
         """Returns the lease deadline for starting a run, None if it must not start now.
 
-        The run may have ended since :meth:`begin_due_starts` returned it.
+        The run may have ended since :meth:`begin_due_starts` returned it, or the data
+        centre may have been evacuated.
         """
-        if run.state is not RunState.STARTING:
+        if self.evacuated or run.state is not RunState.STARTING:
             return None
         return self.deadline_ms(now)
 
--- a/packages/jobs/banyanwheel_jobs/runners/overdue.py
+++ b/packages/jobs/banyanwheel_jobs/runners/overdue.py
@@ -33,7 +33,7 @@
         """Refuses the runs that have waited too long, for room or for their worker."""
         unresponsive = self._is_unresponsive(now)
         reason = "worker-silent" if unresponsive else "no-room"
-        free = self._free_resources() if self._worker_heartbeat else Resources()
+        free = self._free_resources(now) if self._worker_heartbeat else Resources()
         for run in list(self._runs.values()):
             if run.state is not RunState.WAITING:
                 continue
--- a/packages/jobs/banyanwheel_jobs/runners/owner_messages.py
+++ b/packages/jobs/banyanwheel_jobs/runners/owner_messages.py
@@ -5,6 +5,7 @@
 from ..authority import TRANSIENT_AUTHORITY_S
 from ..messages import NOT_FORWARDED, Report, RunStatus, WorkerStatus
 from ..model import TRANSIENT_PARTITION, EndKind, Resources
+from ..outcomes import EVACUATED
 from .runs import RunState, TrackedRun
 
 __all__ = ["OwnerMessages"]
@@ -95,6 +96,8 @@
             return "former-owner"
         if self.stopping:
             return "runner-stopping"
+        if self.evacuated:
+            return EVACUATED
         worker = self._worker_heartbeat
         if worker is None or self._worker_gone or worker.incarnation != message.worker:
             return "other-incarnation"
@@ -165,10 +168,15 @@
             if concerns(entry.end.partition, entry.owner)
         )
         return Report(
-            int(now * 1000), self.reconciled, self._worker_status(), claimed, runs, ends
+            int(now * 1000),
+            self.reconciled,
+            self._worker_status(now),
+            claimed,
+            runs,
+            ends,
         )
 
-    def _worker_status(self):
+    def _worker_status(self, now):
         worker = self._worker_heartbeat
         if worker is None or self._worker_gone:
             return None
@@ -182,7 +190,7 @@
             worker.service,
             accepting,
             worker.capacity,
-            self._free_resources() - waiting,
+            self._free_resources(now) - waiting,
             worker.labels,
             self._slowness,
         )
--- a/packages/jobs/banyanwheel_jobs/runners/runner.py
+++ b/packages/jobs/banyanwheel_jobs/runners/runner.py
@@ -9,12 +9,14 @@
 
 from ..authority import Authority
 from ..model import TRANSIENT_PARTITION, EndKind, Resources
+from ..outcomes import EVACUATED
 from ..ports import StartOutcome
 from .ack_cursor import AckCursor
 from .lease import MAX_LEASE_S, Lease
 from .overdue import Overdue
 from .owner_messages import OwnerMessages
 from .runs import RunState, resources_used
+from .slow_start import SlowStart
 from .worker_reconciliation import WorkerReconciliation
 
 __all__ = ["Runner"]
@@ -61,6 +63,8 @@
         self._worker_clock = (0, 0.0)  # ms on its clock, and when read
         self._fence_step_ms = FENCE_STEP_MS
         self._owners_to_notify = set()  # of ends not reported yet
+        self._slow_start = SlowStart()
+        self.evacuated = False
         self.reconciled = False
         self.stopping = False
         self.fence = 0
@@ -259,16 +263,33 @@
     def _accepting(self):
         return not (
             self.stopping
+            or self.evacuated
             or self._worker_gone
             or self._pending_lapse is not None
             or self._worker_heartbeat.draining
             or not self.reconciled
         )
 
-    def _free_resources(self):
+    def _free_resources(self, now):
         if any(run.is_orphan for run in self._runs.values()):
             return Resources()
-        return self._worker_heartbeat.capacity - resources_used(self._runs.values())
+        room = self._slow_start.limit(self._worker_heartbeat.capacity, now)
+        return room - resources_used(self._runs.values())
+
+    def set_evacuated(self, evacuated, now):
+        """Follows the evacuation of the data centre; refuses what waits for a start.
+
+        Once it is lifted, the worker may be cold and starts slowly.
+        """
+        if evacuated == self.evacuated:
+            return
+        self.evacuated = evacuated
+        self.version += 1
+        if evacuated:
+            self._slow_start.cancel()
+            self._refuse_waiting(EVACUATED)
+        else:
+            self._slow_start.begin(self._slowness, now)
 
     # Starts and stops
 
@@ -280,7 +301,7 @@
             or self._is_unresponsive(now)
         ):
             return []
-        free = self._free_resources()
+        free = self._free_resources(now)
         due = []
         waiting = [run for run in self._runs.values() if run.state is RunState.WAITING]
         for run in sorted(waiting, key=lambda run: run.due_at):
@@ -303,6 +324,8 @@
                 self._event_log.count("banyanwheel.retries", f"start-{outcome.value}")
                 if run.stop_requested:
                     self._end_locally(run, EndKind.STOPPED, "stopped", now)
+                elif self.evacuated:
+                    self._end_locally(run, EndKind.REFUSED, EVACUATED, now)
                 else:
                     run.transition("put-back")
             case _:
--- a/packages/jobs/banyanwheel_jobs/runners/worker_reconciliation.py
+++ b/packages/jobs/banyanwheel_jobs/runners/worker_reconciliation.py
@@ -85,6 +85,13 @@
             self._log_lapse(run, now)
         if run and kind is EndKind.DONE:
             self._update_slowness(run, run_ms)
+            self._slow_start.record_end(
+                run.order.resources.cpu,
+                run_ms,
+                max(MIN_ESTIMATE_MS, run.order.estimate_ms),
+                self._worker_heartbeat.capacity,
+                now,
+            )
 
     def _partition_and_owner(self, run, task):
         """Returns the partition and the owner of a run, None for an unknown owner."""
