Owner: place nothing in evacuated data centres, return jobs that wait

Views of runners in an evacuated data centre are not usable, so they count neither as supply nor in offers. Transient jobs that have not begun and that only evacuated workers of the cells may run are refused with the reason "evacuated", which ForwardedReply carries to their entry. Jobs that have begun use runners of other cells; these count as borrowed, so that they neither are offered to other dispatchers nor end the need for themselves.

`show workers` has the column evacuated, and `why` tells it from drained. It now names the closure of a service's workers where those of other services are open.

Ran tests/jobs/owners, tests/jobs/test_messages.py, tests/core/language: passed.

--- a/packages/core/banyanwheel_core/language/tables.py
+++ b/packages/core/banyanwheel_core/language/tables.py
@@ -116,6 +116,7 @@
             accepting="whether its runner takes tasks for it",
             suspected="whether it is left out since runs failed or stood still there",
             drained="whether a drain keeps new work away",
+            evacuated="whether an evacuation of its data centre keeps new work away",
         ),
         *_durations(age_ms="time since its runner was heard"),
     ),
--- a/packages/jobs/banyanwheel_jobs/cells/forwarding.py
+++ b/packages/jobs/banyanwheel_jobs/cells/forwarding.py
@@ -119,7 +119,8 @@
         job = self._jobs.pop(answer.number, None)
         if job is None:
             return False
-        job.reply(Reply(Outcome(answer.outcome), answer.state, answer.retry_ms))
+        outcome = Outcome(answer.outcome)
+        job.reply(Reply(outcome, answer.state, answer.retry_ms, answer.reason))
         return True
 
     def handle_unknown(self, address, message):
@@ -222,7 +223,11 @@
         def reply(result):
             if state.jobs.pop(number, None) is not None:
                 answer = ForwardedReply(
-                    number, result.outcome, result.state, result.retry_ms
+                    number,
+                    result.outcome,
+                    result.state,
+                    result.retry_ms,
+                    result.reason,
                 )
                 self._answer(entry, state, answer, now)
 
--- a/packages/jobs/banyanwheel_jobs/cells/placers.py
+++ b/packages/jobs/banyanwheel_jobs/cells/placers.py
@@ -128,6 +128,11 @@
         candidates = self._candidates(now, excluded)
         return bool(_with_room(candidates, submission, CROWDED_SHARE))
 
+    def has_suitable(self, submission, now, excluded):
+        """Returns whether a placer that is not excluded has workers for a job."""
+        candidates = self._candidates(now, excluded)
+        return any(suits(placer.offers, submission) for placer in candidates)
+
     def has_roomy_offer(self, submission, now):
         """Returns whether a placer has much room for a job, on any rack."""
         for placer in self._candidates(now, ()):
--- a/packages/jobs/banyanwheel_jobs/messages.py
+++ b/packages/jobs/banyanwheel_jobs/messages.py
@@ -297,13 +297,15 @@
 class ForwardedReply(_Message, tag="Answer"):
     """The reply to a :class:`ForwardedRequest` or :class:`RunJob` of its ``number``.
 
-    ``outcome`` is a value of :class:`banyanwheel_jobs.outcomes.Outcome`.
+    ``outcome`` is a value of :class:`banyanwheel_jobs.outcomes.Outcome`; ``reason`` is
+    that of :class:`banyanwheel_jobs.outcomes.Reply`.
     """
 
     number: int
     outcome: str
     state: str = ""
     retry_ms: int = 0
+    reason: str = ""
 
 
 class Misaddressed(_Message):
--- a/packages/jobs/banyanwheel_jobs/owners/explaining.py
+++ b/packages/jobs/banyanwheel_jobs/owners/explaining.py
@@ -55,15 +55,18 @@
     """Returns the reason why a task is not placed."""
     step = job.step_of(task)
     service = job.submission.queue.service
-    usable = [view for view in views if view.usable(now)]
-    if not usable:
+    # A runner that knows of its evacuation accepts nothing, but it is heard.
+    heard = [view for view in views if view.usable(now) or _is_evacuated(view, now)]
+    if not heard:
         return "no runner with a worker is heard"
-    open_views = [view for view in usable if not drains.cover(view)]
-    if not open_views:
-        return "every worker is drained"
-    serving = [view for view in open_views if view.worker.service == service]
+    if closed := _closed(heard, drains):
+        return f"every worker is {closed}"
+    serving = [view for view in heard if view.worker.service == service]
     if not serving:
         return f"no worker of service {service} is available"
+    if closed := _closed(serving, drains):
+        return f"every worker of service {service} is {closed}"
+    serving = [view for view in serving if not _closures(view, drains)]
     allowed = [
         view for view in serving if placement.allowed(job, task, step, view, service)
     ]
@@ -76,3 +79,19 @@
     if not any(view.room_for(step.resources) for view in allowed):
         return "no worker has room"
     return "waiting for a faster worker, or room is reserved for more urgent jobs"
+
+
+def _is_evacuated(view, now):
+    return view.evacuated and view.heard(now)
+
+
+def _closures(view, drains):
+    """Returns the words for what keeps tasks away from a worker."""
+    words = {"evacuated"} if view.evacuated else set()
+    return words | ({"drained"} if drains.cover(view) else set())
+
+
+def _closed(views, drains):
+    """Returns what keeps tasks away from all workers, empty if one is open."""
+    closures = [_closures(view, drains) for view in views]
+    return " or ".join(sorted(set().union(*closures))) if all(closures) else ""
--- a/packages/jobs/banyanwheel_jobs/owners/inspection.py
+++ b/packages/jobs/banyanwheel_jobs/owners/inspection.py
@@ -80,6 +80,7 @@
             "accepting": view.usable(now),
             "suspected": view.suspected(now),
             "drained": owner.drains.cover(view),
+            "evacuated": view.evacuated,
             "age_ms": round((now - view.heard_at) * 1000),
         }
         for view in owner.views.values()
--- a/packages/jobs/banyanwheel_jobs/owners/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owners/owner.py
@@ -11,12 +11,14 @@
 
 from ..authority import replacement_delay_s
 from ..cells.placers import offers_of, suits
+from ..evacuation import Evacuations
 from ..messages import StopTasks, TaskRun
 from ..model import TRANSIENT_PARTITION, JobState, Submission, partition_of
 from ..outcomes import RETRY_AFTER_MS, Outcome, Reply
 from ..records import Accepted, Ended, encode, job_key, progress_key
 from .dispatching import Dispatching
 from .drains import Drains
+from .evacuating import Evacuating
 from .job import Job
 from .partition import Partition, PendingSubmission
 from .report_handling import ReportHandling
@@ -31,7 +33,7 @@
 ROOM_WAIT_S = 1.0  # a stored job waits this long for room in its owner's cells
 
 
-class Owner(ReportHandling, TransientJobs, Dispatching, Supervision):
+class Owner(ReportHandling, TransientJobs, Dispatching, Supervision, Evacuating):
     """The jobs of the owned partitions, and the runners that run their tasks."""
 
     def __init__(
@@ -62,6 +64,7 @@
         self._canceled = OrderedDict()  # ids of transient jobs that callers canceled
         self._refused = OrderedDict()  # reasons by id of transient jobs
         self.drains = Drains()
+        self.evacuations = Evacuations.not_followed()
 
     @property
     def partitions(self):
@@ -329,10 +332,12 @@
         """Returns whether the known runners may not be enough.
 
         That is so while runs of a former owner are searched for, and while a job waits
-        that no usable runner may run.
+        that no usable runner of the own cells may run.
         """
         if any(each.recovering for each in self._partitions.values()):
             return True
+        if not self.evacuations.known:
+            return False
         waiting = [
             job
             for job in self._waiting.samples
@@ -340,7 +345,8 @@
         ]
         if not waiting:
             return False
-        offers = offers_of(self._views.values(), now)
+        views = [view for view in self._views.values() if not view.borrowed]
+        offers = offers_of(views, now)
         return any(not suits(offers, job.submission) for job in waiting)
 
     def waiting_for_room(self, now):
--- a/packages/jobs/banyanwheel_jobs/owners/supervision.py
+++ b/packages/jobs/banyanwheel_jobs/owners/supervision.py
@@ -29,7 +29,7 @@
         for key, sent in list(view.outstanding.items()):
             if now - sent.sent_at <= RESEND_S:
                 continue
-            if not self._is_wanted(view, sent.message.partition, key):
+            if view.evacuated or not self._is_wanted(view, sent.message.partition, key):
                 self._withdraw(view, key, sent, now)
                 continue
             sent.sent_at = now
--- a/packages/jobs/banyanwheel_jobs/owners/transient.py
+++ b/packages/jobs/banyanwheel_jobs/owners/transient.py
@@ -54,6 +54,9 @@
         last confirmed it; :meth:`confirm_transient` extends that.
         """
         self._add_transient(_Call(submission, reply, now, expires_at, confirmed_at))
+        job = self._transient.jobs.get(submission.job_id)
+        if job is not None:
+            self._return_evacuated((job,), now)
         self.dispatch(now)
 
     def _add_transient(self, call):
@@ -181,6 +184,7 @@
                 self.dispatch(now)
 
     def _expire_transient(self, now):
+        self._return_evacuated(self._transient.jobs.values(), now)
         contended = self._has_contention(now)
         too_late = []
         for job in list(self._transient.jobs.values()):
@@ -220,4 +224,4 @@
         if len(self._refused) > MAX_REFUSED_IDS:
             self._refused.popitem(last=False)
         for reply in job.on_final:
-            reply(Reply(Outcome.NOT_STORED, retry_ms=retry_ms))
+            reply(Reply(Outcome.NOT_STORED, retry_ms=retry_ms, reason=reason))
--- a/packages/jobs/banyanwheel_jobs/placing/runner_view.py
+++ b/packages/jobs/banyanwheel_jobs/placing/runner_view.py
@@ -21,8 +21,9 @@
 
     The runner is at ``home`` with one of the placers of its cell, which uses its room
     first. ``incarnation`` is that of the runner's process. ``outstanding`` holds the
-    assignments that no report has shown yet, by (task, run). Times are seconds of the
-    owner's clock.
+    assignments that no report has shown yet, by (task, run). A runner that is
+    ``evacuated`` gets no tasks. One that is ``borrowed`` belongs to a cell in which its
+    owner places no tasks otherwise. Times are seconds of the owner's clock.
     """
 
     name: str
@@ -44,13 +45,18 @@
     failure_share: float = 0.0
     suspect_until: float = 0.0
     reopened_at: float = 0.0
+    evacuated: bool = False
+    borrowed: bool = False
 
     def usable(self, now):
         """Returns whether tasks may be placed at the runner at all."""
+        return self.heard(now) and self.worker.accepting and not self.evacuated
+
+    def heard(self, now):
+        """Returns whether the runner has reported lately, and has a worker."""
         return (
             self.reconciled
             and self.worker is not None
-            and self.worker.accepting
             and now - self.heard_at < REPORT_TIMEOUT_S
         )
 
