Daemons: follow evacuations with the setting [jobs] evacuation_ms

ConfigurationFeed is the single held read of the operator's topic: a dispatcher takes the configuration and evacuations from it, a runner evacuations only. Without the setting nothing is followed and no read is added.

An entry sends a job that an evacuated cell has returned to any placer with suitable workers, with room or not, however many have returned it. It refuses the job if there is none, but waits for the first claims of all placers after its start. Runners of other cells count neither in the offers of a dispatcher nor as enough for its jobs.

Ran tests/jobs/cells and the tests of the changed modules in tests/daemon: passed.

--- a/packages/daemon/banyanwheel_daemon/contacts.py
+++ b/packages/daemon/banyanwheel_daemon/contacts.py
@@ -62,7 +62,9 @@
             return None
         now = boot_time()
         if now - self._offers_at > OFFERS_MAX_AGE_S:
-            self._offers = offers_of(self._owner.views.values(), now)
+            views = self._owner.views.values()
+            own = [view for view in views if not view.borrowed]
+            self._offers = offers_of(own, now)
             self._offers_at = now
         return self._offers
 
@@ -121,10 +123,13 @@
         homes = self._election.homes(self._placers.live(boot_time()))
         added = needed - self._owner.views.keys()
         for address in added:
-            self._owner.views[address] = RunnerView(address, known[address].data_centre)
+            view = RunnerView(address, known[address].data_centre)
+            view.evacuated = self._owner.evacuations.covers(view.data_centre)
+            self._owner.views[address] = view
             self._event_log("runner:known", runner=address)
         for address, view in self._owner.views.items():
             view.home = address in homes
+            view.borrowed = self.placing and address not in self._election.runners
         self._contact_runners(added)
         self._drop_views(self._owner.views.keys() - needed, known)
 
--- a/packages/daemon/banyanwheel_daemon/dispatcher.py
+++ b/packages/daemon/banyanwheel_daemon/dispatcher.py
@@ -5,6 +5,7 @@
 
 from banyanwheel_jobs.cells.forwarding import HostedJobs
 from banyanwheel_jobs.cells.placers import Placers
+from banyanwheel_jobs.evacuation import Evacuations
 from banyanwheel_jobs.messages import (
     Claims,
     ForwardedReply,
@@ -22,15 +23,10 @@
 from banyanwheel_jobs.owners.owner import Owner
 from banyanwheel_jobs.placing.placement import Placement
 from banyanwheel_platform.callers import CallerServer
-from banyanwheel_platform.configuration import (
-    CONFIGURATION_KEY,
-    OPERATOR_TOPIC,
-    decode_configuration,
-)
 from banyanwheel_platform.log import LogClient
 
 from .clocks import boot_time, wall_ms
-from .configuration_feed import ConfigurationFeed
+from .configuration_feed import ConfigurationFeed, EvacuationReader
 from .contacts import Contacts
 from .members import Member, Members
 from .ownership import Ownership
@@ -90,13 +86,15 @@
             transient=self._transient,
             numbers=numbers,
         )
-        self._feed = ConfigurationFeed(
+        self._evacuation_reader = EvacuationReader(
+            self._owner.evacuations, self._evacuate, self.event_log
+        )
+        self._feed = ConfigurationFeed.for_dispatcher(
             self._log,
-            OPERATOR_TOPIC,
-            CONFIGURATION_KEY,
-            decode_configuration,
             self._configure,
+            self._evacuation_reader,
             self.event_log,
+            settings.jobs.evacuation_ms,
         )
         self._callers = CallerServer(self._gateway, self.event_log)
         self._peers = None
@@ -108,7 +106,7 @@
         placement = Placement(
             self.settings.process.data_centre, jobs.remote_rack_factor
         )
-        return Owner(
+        owner = Owner(
             self.settings.log.partitions,
             placement,
             retention_s=jobs.retention_s,
@@ -117,6 +115,9 @@
             store=self._store,
             event_log=self.event_log,
         )
+        if jobs.evacuation_ms is not None:
+            owner.evacuations = Evacuations()
+        return owner
 
     def _create_ownership(self):
         return Ownership(
@@ -186,6 +187,7 @@
         owner, gateway = self._owner, self._gateway
         gauge = self.metrics.gauge
         gauge("banyanwheel.configuration.version", lambda: gateway.version)
+        gauge("banyanwheel.evacuations", lambda: len(owner.evacuations.names))
         gauge("banyanwheel.partitions", lambda: len(owner.partitions))
         gauge("banyanwheel.jobs.transient", lambda: len(owner.transient.jobs))
         gauge("banyanwheel.jobs.pending", lambda: sum(owner.pending.values()))
@@ -232,6 +234,17 @@
     def _configure(self, routing):
         self._gateway.routing = routing
 
+    def _evacuate(self):
+        self._transient.check_pause()
+        self._owner.apply_evacuations(boot_time())
+        self._log_unmatched_evacuations()
+
+    def _log_unmatched_evacuations(self):
+        members = self._members.known.values()
+        if members:
+            data_centres = {member.data_centre for member in members}
+            self._evacuation_reader.log_unmatched(data_centres)
+
     # Members
 
     async def _refresh_members(self):
@@ -244,6 +257,7 @@
             names = sorted(f"{kind} {name}" for kind, name in self._members.drains)
             self.event_log("drain:in-force", names=names)
         self._contacts.update_cells()
+        self._log_unmatched_evacuations()
 
     # Operators
 
--- a/packages/daemon/banyanwheel_daemon/event_log.py
+++ b/packages/daemon/banyanwheel_daemon/event_log.py
@@ -12,6 +12,7 @@
     "worker:",
     "log:",
     "configuration:",
+    "evacuation:",
     "runner:",
     "heartbeat:",
     "drain:",
--- a/packages/daemon/banyanwheel_daemon/runner.py
+++ b/packages/daemon/banyanwheel_daemon/runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from banyanwheel_jobs.evacuation import Evacuations
 from banyanwheel_jobs.messages import (
     EndsAcknowledged,
     Heartbeat,
@@ -21,6 +22,7 @@
 from banyanwheel_platform.log import LogClient
 
 from .clocks import boot_time
+from .configuration_feed import ConfigurationFeed, EvacuationReader
 from .members import Member, Members
 from .peers import Peers
 from .role import RUNNER, Role
@@ -51,7 +53,9 @@
         self._runner = Runner(
             settings.log.partitions, settings.jobs.lease_ms / 1000, self.event_log
         )
-        self._members = Members(LogClient(settings.log.address), self.event_log)
+        self._log = LogClient(settings.log.address)
+        self._members = Members(self._log, self.event_log)
+        self._evacuations = Evacuations()
         self._heartbeats = HeartbeatServer(
             self._handle_worker_heartbeat, self._handle_worker_left, self.event_log
         )
@@ -89,6 +93,8 @@
         self._heartbeats.listen(self.settings.worker.heartbeats)
         self._registration = self.spawn(self.keep_running(self._register))
         self.spawn(self.keep_running(self._poll_worker))
+        if self.settings.jobs.evacuation_ms is not None:
+            self._follow_evacuations(self.settings.jobs.evacuation_ms)
         self.spawn(self.call_every(TICK_INTERVAL_S, self._tick))
         await self.wait_for_stop()
         await self._stop_runs()
@@ -100,6 +106,21 @@
             process.advertised_address, member, self._is_contacted
         )
 
+    def _follow_evacuations(self, evacuation_ms):
+        evacuations = self._evacuations
+        self.metrics.gauge("banyanwheel.evacuations", lambda: len(evacuations.names))
+        reader = EvacuationReader(evacuations, self._evacuate, self.event_log)
+        feed = ConfigurationFeed.for_runner(
+            self._log, reader, self.event_log, evacuation_ms
+        )
+        self.spawn(self.keep_running(feed.run))
+
+    def _evacuate(self):
+        evacuated = self._evacuations.covers(self.settings.process.data_centre)
+        if evacuated != self._runner.evacuated:
+            self._runner.set_evacuated(evacuated, boot_time())
+            self._report_to_all()
+
     def _is_contacted(self):
         return boot_time() - self._contacted_at < CONTACT_TIMEOUT_S
 
--- a/packages/daemon/banyanwheel_daemon/settings.py
+++ b/packages/daemon/banyanwheel_daemon/settings.py
@@ -83,12 +83,14 @@
 
     ``lease_ms`` is the duration of a runner's lease, ``retention_s`` how long ended
     jobs are kept, and ``remote_rack_factor`` the cost factor of a remote rack in
-    placement.
+    placement. Evacuations are in force within ``evacuation_ms``; without it none is
+    followed.
     """
 
     lease_ms: PositiveInt = 1_000
     retention_s: PositiveFloat = 120.0
     remote_rack_factor: PositiveFloat = 1.5
+    evacuation_ms: PositiveInt | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/daemon/banyanwheel_daemon/transient_requests.py
+++ b/packages/daemon/banyanwheel_daemon/transient_requests.py
@@ -5,7 +5,7 @@
 
 from banyanwheel_jobs.cells.forwarding import ForwardedJobs, may_outlast
 from banyanwheel_jobs.model import Submission
-from banyanwheel_jobs.outcomes import RETRY_AFTER_MS, Outcome, Reply
+from banyanwheel_jobs.outcomes import EVACUATED, RETRY_AFTER_MS, Outcome, Reply
 from banyanwheel_jobs.placing.placement import may_end_in_time
 
 __all__ = ["TransientRequests"]
@@ -30,7 +30,11 @@
 
 @dataclass(slots=True, eq=False)
 class _Request:
-    """A caller's transient job; times in seconds of this process's clock."""
+    """A caller's transient job; times in seconds of this process's clock.
+
+    ``evacuated`` are the placers that returned it because their suitable workers are
+    evacuated.
+    """
 
     submission: Submission
     reply: object
@@ -39,6 +43,7 @@
     is_connected: object = _is_always_connected
     done: bool = False
     abandon: object = field(default=_not_running)  # withdraws it where it runs
+    evacuated: set = field(default_factory=set)
 
 
 class TransientRequests:
@@ -59,6 +64,8 @@
         self._unrouted = []
         self._shutdown_deadline = float("inf")
         self._active_at = self._now()  # when this process last did anything
+        # From then on, a placer that was not heard of has left or is cut off.
+        self._placers_known_at = self._active_at + UNROUTED_TIMEOUT_S
         self._forwarded = ForwardedJobs(
             numbers, send, placers.is_silent, self._reroute, event_log
         )
@@ -168,20 +175,44 @@
     def _route_elsewhere(self, request, placer, tried, refusal):
         """Gives a job that one placer has refused to another one, if it may help."""
         now = self._now()
-        tried = {*tried, placer.address if placer is not None else SELF}
-        if (
-            not request.done
-            and len(tried) < MAX_PLACERS_TRIED
-            and may_end_in_time(
-                request.submission, request.received_at, request.expires_at, now
-            )
-            and self._placers.has_room(request.submission, now, tried)
+        address = placer.address if placer is not None else SELF
+        tried = {*tried, address}
+        if refusal.reason == EVACUATED:
+            request.evacuated.add(address)
+        if request.done or not may_end_in_time(
+            request.submission, request.received_at, request.expires_at, now
         ):
+            self._finish(request, refusal)
+        elif refusal.reason == EVACUATED:
+            self._leave_evacuated(request, tried, now, refusal)
+        elif self._may_try_another(request, tried, now):
             self._event_log.count("banyanwheel.retries", "refused-by-placer")
             self._route(request, now, tried)
         else:
             self._finish(request, refusal)
 
+    def _may_try_another(self, request, tried, now):
+        """Returns whether another placer has room for a job that one has refused."""
+        refusals = len(tried - request.evacuated)
+        return refusals < MAX_PLACERS_TRIED and self._placers.has_room(
+            request.submission, now, tried
+        )
+
+    def _leave_evacuated(self, request, tried, now, refusal):
+        """Gives a job that an evacuated cell has returned to another cell.
+
+        It may wait for room there. It is refused if no cell has suitable workers, as
+        soon as all placers have had the time to send their claims.
+        """
+        if self._placers.has_suitable(request.submission, now, tried):
+            self._event_log.count("banyanwheel.retries", EVACUATED)
+            self._route(request, now, tried)
+        elif now < self._placers_known_at:
+            request.abandon = _not_running
+            self._unrouted.append(request)
+        else:
+            self._finish(request, refusal)
+
     def _reroute(self, submission, tried):
         """Routes a job again that the placer it was sent to has not received."""
         for request in self._requests:
@@ -232,9 +263,13 @@
             if request.done:
                 continue
             if now - request.received_at > UNROUTED_TIMEOUT_S:
-                self._refuse(request, "no-placer")
+                self._refuse(request, EVACUATED if request.evacuated else "no-placer")
+            elif request.evacuated and not self._placers.has_suitable(
+                request.submission, now, request.evacuated
+            ):
+                self._unrouted.append(request)
             else:
-                self._route(request, now)
+                self._route(request, now, request.evacuated)
 
     def start_shutdown(self, deadline):
         """Refuses new jobs that may not end by the deadline."""
--- a/tests/daemon/test_contacts.py
+++ b/tests/daemon/test_contacts.py
@@ -11,7 +11,14 @@
 from banyanwheel_daemon.role import DISPATCHER, RUNNER
 from banyanwheel_daemon.settings import Process
 from banyanwheel_jobs.cells.placers import Placers
-from banyanwheel_jobs.messages import Claims, Heartbeat, ServiceOffer, StopTasks
+from banyanwheel_jobs.evacuation import EvacuationRecord, Evacuations
+from banyanwheel_jobs.messages import (
+    Claims,
+    Heartbeat,
+    ServiceOffer,
+    StopTasks,
+    WorkerStatus,
+)
 from banyanwheel_jobs.model import (
     TRANSIENT_PARTITION,
     Queue,
@@ -219,3 +226,29 @@
     submit(site, transient)
     offer_elsewhere(site, free_cpu)
     assert len(site.contact()[1]) == contacted
+
+
+def test_a_runner_that_becomes_known_later_is_evacuated_too(site, monkeypatch):
+    """Guards against starts at runners of other cells that are searched for room."""
+    site.owner.evacuations = Evacuations()
+    site.owner.evacuations.replace([EvacuationRecord("e/dc-1", 1, "dc-1", True)])
+    monkeypatch.setattr(site.owner, "needs_all_runners", lambda now: True)
+    site.contact()
+    assert {(v.data_centre, v.evacuated) for v in site.owner.views.values()} == {
+        ("dc-0", False),
+        ("dc-1", True),
+    }
+
+
+def test_runners_of_other_cells_are_not_offered(site, monkeypatch):
+    """Guards against jobs that are sent to an evacuated cell for their room."""
+    monkeypatch.setattr(site.owner, "needs_all_runners", lambda now: True)
+    site.contact()
+    borrowed = {v.data_centre for v in site.owner.views.values() if v.borrowed}
+    assert borrowed == {"dc-1"}
+    worker = WorkerStatus("w@1", "desk", True, *[Resources(1_000)] * 2, (), 1.0)
+    for view in site.owner.views.values():
+        view.worker, view.reconciled, view.heard_at = worker, True, boot_time()
+    site.contacts._offers_at = float("-inf")
+    (offer,) = site.contacts.offers()
+    assert offer.capacity_cpu == RUNNERS_PER_DATA_CENTRE * 1_000
--- a/tests/daemon/test_dispatcher.py
+++ b/tests/daemon/test_dispatcher.py
@@ -7,7 +7,15 @@
 from banyanwheel_daemon.addresses import Address
 from banyanwheel_daemon.context import Environment
 from banyanwheel_daemon.dispatcher import Dispatcher
-from banyanwheel_daemon.settings import Callers, DispatcherSettings, Log, Process
+from banyanwheel_daemon.members import Member
+from banyanwheel_daemon.role import RUNNER
+from banyanwheel_daemon.settings import (
+    Callers,
+    DispatcherSettings,
+    Jobs,
+    Log,
+    Process,
+)
 from banyanwheel_jobs.messages import (
     ForwardedReply,
     ForwardedRequest,
@@ -15,6 +23,9 @@
     InspectionResult,
 )
 from banyanwheel_jobs.model import Queue, Resources, Step
+from banyanwheel_jobs.placing.runner_view import RunnerView
+from banyanwheel_jobs.ports import KeyedRecord
+from tests.jobs.world import EventRecorder
 
 ANYWHERE = Address("127.0.0.1:0")
 JOB = "a" * 16
@@ -39,13 +50,14 @@
         self.sent.append((address, incarnation, message))
 
 
-def new_dispatcher():
+def new_dispatcher(evacuation_ms=None):
     settings = DispatcherSettings(
         process=Process(
             name="one", data_centre="dc", address=Address("127.0.0.1:7000")
         ),
         log=Log(address=Address("127.0.0.1:1"), partitions=4),
         callers=Callers(listen=ANYWHERE, ready=ANYWHERE),
+        jobs=Jobs(evacuation_ms=evacuation_ms),
     )
     dispatcher = Dispatcher(settings, Environment(None, None))
     dispatcher._peers = PeersRecorder()
@@ -67,3 +79,28 @@
     ((address, incarnation, message),) = asyncio.run(run())
     assert (address, incarnation, type(message)) == ("b:1", "earlier", kind)
     assert message.number == 7
+
+
+@pytest.mark.parametrize("evacuation_ms", [None, 5_000])
+def test_a_dispatcher_follows_evacuations_only_with_the_setting(evacuation_ms):
+    dispatcher = new_dispatcher(evacuation_ms)
+    follows = evacuation_ms is not None
+    assert dispatcher._owner.evacuations.covers("dc") is follows
+    assert (dispatcher._evacuation_reader in dispatcher._feed._readers) is follows
+
+
+def test_an_evacuation_reaches_the_views_and_an_unmatched_one_is_logged_once():
+    dispatcher = new_dispatcher(5_000)
+    events = dispatcher._evacuation_reader._event_log = EventRecorder()
+    view = dispatcher._views["r:1"] = RunnerView("r:1", "dc-1")
+    reader = dispatcher._evacuation_reader
+    records = [KeyedRecord(f"evacuate/{name}", b"{}", 1) for name in ("dc-1", "dc-9")]
+    reader.replace(records)
+    assert view.evacuated
+    reader.update([KeyedRecord("evacuate/dc-1", None, 2)])
+    assert not view.evacuated
+    dispatcher._members.known["r:1"] = Member(RUNNER, "dc-1")
+    for _ in range(2):
+        dispatcher._members_changed()
+    unmatched = [f for name, f in events.events if name.endswith("no-such-data-centre")]
+    assert unmatched == [{"data_centre": "dc-9"}]
--- a/tests/daemon/test_runner.py
+++ b/tests/daemon/test_runner.py
@@ -6,12 +6,13 @@
 import pytest
 
 from banyanwheel_daemon.addresses import Address
+from banyanwheel_daemon.configuration_feed import EvacuationReader
 from banyanwheel_daemon.context import Environment
 from banyanwheel_daemon.runner import RunnerRole
 from banyanwheel_daemon.settings import Log, Process, RunnerSettings, Worker
 from banyanwheel_jobs.messages import Assignment, Heartbeat, StartTasks
 from banyanwheel_jobs.model import TRANSIENT_PARTITION, Resources, TaskId
-from banyanwheel_jobs.ports import WorkerHeartbeat
+from banyanwheel_jobs.ports import KeyedRecord, WorkerHeartbeat
 from tests.jobs.world import EventRecorder
 
 ADDRESS = "127.0.0.1:7000"
@@ -104,3 +105,13 @@
     assert (until(0) > 0) is authorized
     assert (until(TRANSIENT_PARTITION, OWNER) > 0) is authorized
     assert role._runner._authority.epoch(0) == 1
+
+
+def test_a_runner_follows_the_evacuation_of_its_own_data_centre(role):
+    reader = EvacuationReader(role._evacuations, role._evacuate, role.event_log)
+    reader.replace([KeyedRecord("evacuate/other", b"{}", 1)])
+    assert not role._runner.evacuated
+    reader.update([KeyedRecord("evacuate/dc", b"{}", 2)])
+    assert role._runner.evacuated
+    reader.replace([])
+    assert not role._runner.evacuated
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -48,6 +48,7 @@
     assert settings.process.operators is None
     assert settings.process.advertised_address == "127.0.0.1:7001"
     assert settings.jobs.lease_ms == 1_000
+    assert settings.jobs.evacuation_ms is None
     assert check(write(DISPATCHER)) == ()
 
 
--- a/tests/daemon/test_transient_requests.py
+++ b/tests/daemon/test_transient_requests.py
@@ -2,8 +2,12 @@
 
 import pytest
 
-from banyanwheel_daemon.transient_requests import UNROUTED_TIMEOUT_S
+from banyanwheel_daemon.transient_requests import (
+    MAX_PLACERS_TRIED,
+    UNROUTED_TIMEOUT_S,
+)
 from banyanwheel_jobs.cells.placers import Placers
+from banyanwheel_jobs.evacuation import EvacuationRecord, Evacuations
 from banyanwheel_jobs.messages import (
     Claims,
     ForwardedReply,
@@ -11,9 +15,11 @@
     JobsUnknown,
     RunJob,
     ServiceOffer,
+    WorkerStatus,
 )
 from banyanwheel_jobs.model import Queue, Resources, Step
-from banyanwheel_jobs.outcomes import Outcome
+from banyanwheel_jobs.outcomes import EVACUATED, Outcome
+from banyanwheel_jobs.placing.runner_view import RunnerView
 from tests.daemon.gateways import NOW, build_gateway
 from tests.jobs.world import lone_owner
 
@@ -68,9 +74,14 @@
         """The (placer, message) pairs of the jobs that were sent."""
         return [(one, sent) for one, _, sent in self.sent if isinstance(sent, RunJob)]
 
-    def answer(self, outcome, state=""):
+    def answer(self, outcome, state="", reason=""):
         _, message = self.run_jobs[-1]
-        self.gateway.handle_reply(ForwardedReply(message.number, outcome, state, 700))
+        reply = ForwardedReply(message.number, outcome, state, 700, reason)
+        self.gateway.handle_reply(reply)
+
+    def return_evacuated(self):
+        """Has the placer that got the job last return it."""
+        self.answer(Outcome.NOT_STORED, reason=EVACUATED)
 
     @property
     def outcomes(self):
@@ -299,3 +310,83 @@
     assert site.gateway.open_requests == 1
     site.answer(Outcome.STATE, "completed")
     assert [reply.state for reply in site.replies] == ["completed"]
+
+
+def test_a_job_of_an_evacuated_cell_waits_for_room_in_another(site):
+    """Guards against a refusal though another cell has suitable workers."""
+    site.run()
+    site.now += 0.3
+    site.hear("one", "two", offer=FULL)
+    site.return_evacuated()
+    assert {name for name, _ in site.run_jobs} == {"one", "two"}
+    site.answer(Outcome.STATE, "completed")
+    assert [reply.state for reply in site.replies] == ["completed"]
+
+
+def test_a_job_passes_every_placer_of_an_evacuated_cell(site):
+    """Guards against a refusal after the first few have returned it."""
+    names = [f"near-{number}" for number in range(MAX_PLACERS_TRIED + 2)]
+    site.placers.set_near({"one", "two", *names})
+    site.hear(*names)
+    site.hear("far", offer=FULL)
+    site.run()
+    for _ in range(len(names) + 2):
+        site.return_evacuated()
+    assert site.run_jobs[-1][0] == "far"
+    assert len({name for name, _ in site.run_jobs}) == len(names) + 3
+    site.answer(Outcome.STATE, "completed")
+    assert [reply.state for reply in site.replies] == ["completed"]
+
+
+def test_a_job_is_refused_if_no_other_cell_has_suitable_workers(site):
+    site.now += UNROUTED_TIMEOUT_S
+    site.hear("one", "two")
+    site.run()
+    site.hear("one", "two", offer=ServiceOffer("other", 8_000, 16_000, ()))
+    site.return_evacuated()
+    assert site.outcomes == [Outcome.NOT_STORED]
+    assert site.gateway.open_requests == 0
+
+
+def test_a_job_that_can_no_longer_end_in_time_leaves_no_evacuated_cell(site):
+    site.run(deadline_s=1.0)
+    site.now += 0.95
+    site.hear("one", "two")
+    site.return_evacuated()
+    assert site.outcomes == [Outcome.NOT_STORED]
+
+
+def evacuated_site():
+    """Returns a site whose own workers are all evacuated."""
+    site = Site(offers=())
+    view = site.owner.views["runner"] = RunnerView("runner", "dc")
+    capacity = Resources(8_000, 8_000, 0)
+    view.worker = WorkerStatus("w@1", "desk", False, capacity, capacity, (), 1.0)
+    site.owner.evacuations = Evacuations()
+    site.owner.evacuations.replace([EvacuationRecord("e/dc", 1, "dc", True)])
+    site.owner.apply_evacuations(site.now)
+    return site
+
+
+def test_a_job_leaves_the_evacuated_cell_of_its_own_dispatcher():
+    site = evacuated_site()
+    site.run()
+    assert JOB not in site.owner.transient.jobs
+    assert site.replies == []
+    site.hear("far", offer=FULL)
+    site.transient.tick()
+    assert [name for name, _ in site.run_jobs] == ["far"]
+
+
+def test_a_job_waits_for_the_claims_of_other_cells_after_a_start_only():
+    """Guards against refusals right after all processes were started again."""
+    site = evacuated_site()
+    site.run()
+    site.transient.tick()
+    assert site.replies == []
+    site.now += UNROUTED_TIMEOUT_S + 0.1
+    site.transient.tick()
+    assert site.outcomes == [Outcome.NOT_STORED]
+    site.run()
+    assert site.outcomes == [Outcome.NOT_STORED] * 2
+    assert site.gateway.open_requests == 0
--- a/tests/jobs/cells/test_forwarding.py
+++ b/tests/jobs/cells/test_forwarding.py
@@ -6,6 +6,7 @@
 from banyanwheel_jobs.authority import TRANSIENT_AUTHORITY_S
 from banyanwheel_jobs.cells.forwarding import ForwardedJobs, HostedJobs
 from banyanwheel_jobs.cells.placers import Placers
+from banyanwheel_jobs.evacuation import EvacuationRecord, Evacuations
 from banyanwheel_jobs.messages import (
     Claims,
     JobsAbandoned,
@@ -14,7 +15,7 @@
     RunJob,
 )
 from banyanwheel_jobs.model import Step, Submission
-from banyanwheel_jobs.outcomes import Outcome
+from banyanwheel_jobs.outcomes import EVACUATED, Outcome
 
 from ..world import QUEUE, TASK, EventRecorder, lone_owner
 from .entry_world import CALLER_RETRY_S, EntryWorld
@@ -248,6 +249,18 @@
     assert len(world.hosted[placer]) == 0
 
 
+def test_an_evacuated_placer_tells_the_entry_why_it_returns_a_job(world):
+    """Guards against a refusal, since only this reason leads to cells without room."""
+    for owner in world.owners.values():
+        owner.evacuations = Evacuations()
+        owner.evacuations.replace([EvacuationRecord("e/dc", 1, "dc", True)])
+        owner.apply_evacuations(world.now)
+    world.submit_at("entry-0", JOB)
+    run(world, 0.1)
+    assert [reply.reason for reply in world.replies[JOB]] == [EVACUATED]
+    assert sum(len(hosted) for hosted in world.hosted.values()) == 0
+
+
 def test_a_job_that_its_placer_cannot_handle_is_answered_at_once():
     sent = []
     owner = lone_owner()
