Features: evacuations with real processes

An evacuation outlives the kill of all processes, and its workers serve again once it is lifted; runs there end by themselves; it stays in force while the log is away, and after the log has forgotten older records. The daemons of these clusters have [jobs] evacuation_ms. A cluster counts as whole when every worker is shown as accepting or evacuated; the latter is false elsewhere.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,7 +3,11 @@
 from tests import known_red
 
 # Steps that several features share.
-pytest_plugins = ["tests.promises.checks", "tests.promises.submissions"]
+pytest_plugins = [
+    "tests.promises.checks",
+    "tests.promises.evacuations",
+    "tests.promises.submissions",
+]
 _ENTRIES = pytest.StashKey()
 
 
--- /dev/null
+++ b/tests/promises/test_evacuation.py
@@ -0,0 +1,3 @@
+from pytest_bdd import scenarios
+
+scenarios("evacuation.feature")
--- a/tests/promises/world.py
+++ b/tests/promises/world.py
@@ -42,6 +42,7 @@
     completed: list = field(default_factory=list)
     published: list = field(default_factory=list)
     drained_at: float = 0.0
+    evacuated_at: float = 0.0
 
     @property
     def told(self):
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -345,6 +345,7 @@
     def _configure(self, name, write):
         data_centre = self.layout.data_centre(name)
         text = write(name, data_centre, self._addresses[name], self.log)
+        text += self.layout.extra_settings
         (self._directory / f"{name}.toml").write_text(text)
 
     def _launch_daemon(self, name):
@@ -377,12 +378,14 @@
         return self._launch(name, worker)
 
     def _is_whole(self, name):
-        """Whether a dispatcher is ready, and has room on every worker."""
+        """Whether a dispatcher is ready and knows all workers, as open or evacuated."""
         try:
             if call("GET", self.ready_address(name), "/ready")[0] != 200:
                 return False
             url = self._addresses[name]["operators"]
-            rows = command(url, "show workers where accepting = true")
+            rows = command(
+                url, "show workers where accepting = true or evacuated = true"
+            )
         except OSError:
             return False
         return len(rows) == self.layout.runners
--- a/tests/standins/layout.py
+++ b/tests/standins/layout.py
@@ -26,6 +26,7 @@
 address = "{log}"
 partitions = {partitions}
 """
+_EVACUATION = "\n[jobs]\nevacuation_ms = {}\n"
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +34,7 @@
     """How many of what, spread over the data centres in turn.
 
     ``proxied`` tells whether a proxy stands before each runner. Workers have these
-    cores and labels in turn.
+    cores and labels in turn. Daemons follow evacuations with ``evacuation_ms``.
     """
 
     dispatchers: int = 2
@@ -43,6 +44,7 @@
     task_ms: int = 100
     worker_cpu: tuple = (4_000,)
     worker_labels: tuple = ("a",)
+    evacuation_ms: int | None = None
 
     @classmethod
     def uneven(cls, dispatchers, runners):
@@ -62,6 +64,11 @@
         """Names of the runners."""
         return tuple(f"runner-{number + 1}" for number in range(self.runners))
 
+    @property
+    def extra_settings(self):
+        """Settings that only some layouts have, as TOML."""
+        return _EVACUATION.format(self.evacuation_ms) if self.evacuation_ms else ""
+
     def data_centre(self, name):
         """The data centre of the process ``name``."""
         number = int(name.rpartition("-")[2]) - 1
