--- a/packages/jobs/banyanwheel_jobs/runners/slow_start.py
+++ b/packages/jobs/banyanwheel_jobs/runners/slow_start.py
@@ -7,8 +7,8 @@
 FIRST_SHARE = 0.25  # of the worker's cores
 GROWTH_FACTOR = 2
 MAX_DURATION_S = 5.0  # a worker that gets no tasks meanwhile has all of its room then
-# Of the expected run time. A cold worker takes 1.5 times as long, by the platform's
-# figure `coldOverage`; a run that took longer says nothing for more room.
+# Of the expected run time. By the platform's figures a cold worker takes 1.5 times as
+# long, so a run that took longer is no reason for more room.
 IN_TIME_FACTOR = 1.5
 
 
