--- a/packages/daemon/banyanwheel_daemon/service.py
+++ b/packages/daemon/banyanwheel_daemon/service.py
@@ -35,7 +35,7 @@
         return ExitStatus.USAGE
 
     def run():
-        settings = from_file(path)
+        settings = from_file(path, environ)
         if isinstance(settings, DispatcherSettings):
             from . import dispatcher as role
         else:
--- a/packages/daemon/banyanwheel_daemon/settings.py
+++ b/packages/daemon/banyanwheel_daemon/settings.py
@@ -11,6 +11,7 @@
 from banyanwheel_core.findings import Finding
 
 from .addresses import Address
+from .variables import with_variables
 
 __all__ = [
     "Callers",
@@ -128,9 +129,12 @@
     worker: Worker
 
 
-def from_file(path):
-    """Reads a settings file of either role; raises FindingsError with its faults."""
-    source = read_source(path)
+def from_file(path, environ=None):
+    """Reads a settings file of either role; raises FindingsError with its faults.
+
+    Variables of ``environ`` go before the file, see :mod:`.variables`.
+    """
+    source = with_variables(read_source(path), environ or {})
     return checking.check(source, _role_of(source))
 
 
