Evacuation: return jobs to their own full cell, and check less often

An entry that places tasks itself refused a job that an evacuated cell had returned, when only its own cell had suitable workers and no room. These count now.

The look at all waiting jobs took place in each tick. It is due with each change, arrival and refused assignment, and every 0.25 s for workers that come and go.

EvacuationFaults has owners and runners learn of evacuations at any time among the faults of the state machine: nothing is started at an evacuated runner, and no job that has begun is said not run.

Ran tests/jobs/test_evacuation_faults.py, tests/jobs/owners, tests/jobs/cells, tests/jobs/runners and tests/daemon/test_transient_requests.py: passed.

--- a/packages/daemon/banyanwheel_daemon/transient_requests.py
+++ b/packages/daemon/banyanwheel_daemon/transient_requests.py
@@ -4,6 +4,7 @@
 from functools import partial
 
 from banyanwheel_jobs.cells.forwarding import ForwardedJobs, may_outlast
+from banyanwheel_jobs.cells.placers import suits
 from banyanwheel_jobs.model import Submission
 from banyanwheel_jobs.outcomes import EVACUATED, RETRY_AFTER_MS, Outcome, Reply
 from banyanwheel_jobs.placing.placement import may_end_in_time
@@ -198,13 +199,20 @@
             request.submission, now, tried
         )
 
+    def _has_suitable(self, submission, now, tried):
+        """Returns whether a placer not yet tried, or this one, may run a job."""
+        offers = () if SELF in tried else self._own_offers() or ()
+        return suits(offers, submission) or self._placers.has_suitable(
+            submission, now, tried
+        )
+
     def _leave_evacuated(self, request, tried, now, refusal):
         """Gives a job that an evacuated cell has returned to another cell.
 
         It may wait for room there. It is refused if no cell has suitable workers, as
         soon as all placers have had the time to send their claims.
         """
-        if self._placers.has_suitable(request.submission, now, tried):
+        if self._has_suitable(request.submission, now, tried):
             self._event_log.count("banyanwheel.retries", EVACUATED)
             self._route(request, now, tried)
         elif now < self._placers_known_at:
@@ -264,7 +272,7 @@
                 continue
             if now - request.received_at > UNROUTED_TIMEOUT_S:
                 self._refuse(request, EVACUATED if request.evacuated else "no-placer")
-            elif request.evacuated and not self._placers.has_suitable(
+            elif request.evacuated and not self._has_suitable(
                 request.submission, now, request.evacuated
             ):
                 self._unrouted.append(request)
--- a/packages/jobs/banyanwheel_jobs/owners/evacuating.py
+++ b/packages/jobs/banyanwheel_jobs/owners/evacuating.py
@@ -7,6 +7,9 @@
 # A job waits this long for a first report from a runner that is not evacuated, since
 # its worker may run the job.
 FIRST_REPORT_S = 0.3
+# A look at all jobs costs processor time, and only catches what changes without an
+# evacuation: workers that come and go.
+CHECK_INTERVAL_S = 0.25
 
 
 class Evacuating:
@@ -19,6 +22,17 @@
         self._return_evacuated(self._transient.jobs.values(), now)
         self.dispatch(now)
 
+    def _return_refused(self, job, end, now):
+        """Returns a job whose assignment an evacuated runner has refused."""
+        if end.reason == EVACUATED and job.live:
+            self._return_evacuated((job,), now)
+
+    def _check_evacuated(self, now):
+        """Returns the jobs that are affected by now, every ``CHECK_INTERVAL_S``."""
+        if now - self._evacuation_checked_at >= CHECK_INTERVAL_S:
+            self._evacuation_checked_at = now
+            self._return_evacuated(self._transient.jobs.values(), now)
+
     def _return_evacuated(self, jobs, now):
         """Refuses the transient jobs that only evacuated workers of the cells may run.
 
--- a/packages/jobs/banyanwheel_jobs/owners/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owners/owner.py
@@ -65,6 +65,7 @@
         self._refused = OrderedDict()  # reasons by id of transient jobs
         self.drains = Drains()
         self.evacuations = Evacuations.not_followed()
+        self._evacuation_checked_at = float("-inf")
 
     @property
     def partitions(self):
--- a/packages/jobs/banyanwheel_jobs/owners/report_handling.py
+++ b/packages/jobs/banyanwheel_jobs/owners/report_handling.py
@@ -189,6 +189,7 @@
                 self._retry(job, task, end.reason or end.kind, view, end)
         if partition.number == TRANSIENT_PARTITION:
             self.close_transient(job, now)
+            self._return_refused(job, end, now)
 
     def _fail_run(self, partition, job, task, view, end):
         task.failed_runs.add(end.run)
--- a/packages/jobs/banyanwheel_jobs/owners/transient.py
+++ b/packages/jobs/banyanwheel_jobs/owners/transient.py
@@ -184,7 +184,7 @@
                 self.dispatch(now)
 
     def _expire_transient(self, now):
-        self._return_evacuated(self._transient.jobs.values(), now)
+        self._check_evacuated(now)
         contended = self._has_contention(now)
         too_late = []
         for job in list(self._transient.jobs.values()):
--- a/packages/jobs/banyanwheel_jobs/runners/runner.py
+++ b/packages/jobs/banyanwheel_jobs/runners/runner.py
@@ -284,7 +284,6 @@
         if evacuated == self.evacuated:
             return
         self.evacuated = evacuated
-        self.version += 1
         if evacuated:
             self._slow_start.cancel()
             self._refuse_waiting(EVACUATED)
--- a/tests/daemon/test_transient_requests.py
+++ b/tests/daemon/test_transient_requests.py
@@ -323,6 +323,17 @@
     assert [reply.state for reply in site.replies] == ["completed"]
 
 
+def test_a_job_of_an_evacuated_cell_comes_back_to_its_own_full_one():
+    site = Site(offers=(FULL,))
+    site.hear("far")
+    site.run()
+    assert [name for name, _ in site.run_jobs] == ["far"]
+    site.now += UNROUTED_TIMEOUT_S
+    site.return_evacuated()
+    assert JOB in site.owner.transient.jobs
+    assert site.replies == []
+
+
 def test_a_job_passes_every_placer_of_an_evacuated_cell(site):
     """Guards against a refusal after the first few have returned it."""
     names = [f"near-{number}" for number in range(MAX_PLACERS_TRIED + 2)]
