Evacuation: the test of a refused assignment sees a late return

It passed without the look at the end itself, by the check of every 0.25 s. Ran tests/jobs/owners/test_evacuating.py: passed, and failed without it.

--- a/tests/jobs/owners/test_evacuating.py
+++ b/tests/jobs/owners/test_evacuating.py
@@ -119,7 +119,7 @@
     assert site.owner.transient.jobs[JOB].may_have_begun
     site.evacuate(HERE, THERE)
     assert site.reasons == []
-    site.run(0.3)
+    site.run(0.1)
     assert site.reasons == [EVACUATED]
 
 
