Evacuation: a dispatcher that has not heard learns it from the runners

Its log may be cut off. Its runners accepted nothing, so jobs that waited there were refused as "no-runner" after 0.5 s, and went on only to placers with room. WorkerStatus says at its end that the runner is evacuated, and the view counts as evacuated by either word.

Arrivals look for evacuated runners only while there is one.

--- a/packages/daemon/banyanwheel_daemon/contacts.py
+++ b/packages/daemon/banyanwheel_daemon/contacts.py
@@ -124,7 +124,7 @@
         added = needed - self._owner.views.keys()
         for address in added:
             view = RunnerView(address, known[address].data_centre)
-            view.evacuated = self._owner.evacuations.covers(view.data_centre)
+            view.evacuation = self._owner.evacuations.covers(view.data_centre)
             self._owner.views[address] = view
             self._event_log("runner:known", runner=address)
         for address, view in self._owner.views.items():
--- a/packages/jobs/banyanwheel_jobs/messages.py
+++ b/packages/jobs/banyanwheel_jobs/messages.py
@@ -94,7 +94,7 @@
 
     ``free`` is the capacity less the resources of all runs that run, may run or wait
     there. ``slowness`` is the ratio of recent run times to their estimates, 0 where
-    none is known.
+    none is known. It accepts nothing while its data centre is ``evacuated``.
     """
 
     incarnation: str
@@ -104,6 +104,7 @@
     free: Resources
     labels: tuple[str, ...]
     slowness: float
+    evacuated: bool = False
 
     @property
     def worker_id(self):
--- a/packages/jobs/banyanwheel_jobs/owners/evacuating.py
+++ b/packages/jobs/banyanwheel_jobs/owners/evacuating.py
@@ -8,7 +8,7 @@
 # its worker may run the job.
 FIRST_REPORT_S = 0.3
 # A look at all jobs costs processor time, and only catches what changes without an
-# evacuation: workers that come and go.
+# evacuation: workers that come and go, and runners that know of it first.
 CHECK_INTERVAL_S = 0.25
 
 
@@ -18,8 +18,8 @@
     def apply_evacuations(self, now):
         """Acts on a change of the evacuations in force."""
         for view in self._views.values():
-            view.evacuated = self.evacuations.covers(view.data_centre)
-        self._return_evacuated(self._transient.jobs.values(), now)
+            view.evacuation = self.evacuations.covers(view.data_centre)
+        self._return_all_evacuated(now)
         self.dispatch(now)
 
     def _return_refused(self, job, end, now):
@@ -30,7 +30,12 @@
     def _check_evacuated(self, now):
         """Returns the jobs that are affected by now, every ``CHECK_INTERVAL_S``."""
         if now - self._evacuation_checked_at >= CHECK_INTERVAL_S:
-            self._evacuation_checked_at = now
+            self._return_all_evacuated(now)
+
+    def _return_all_evacuated(self, now):
+        self._evacuation_checked_at = now
+        self._any_evacuated = any(view.evacuated for view in self._views.values())
+        if self._any_evacuated:
             self._return_evacuated(self._transient.jobs.values(), now)
 
     def _return_evacuated(self, jobs, now):
@@ -39,12 +44,10 @@
         Another cell may have suitable workers, so their entries look for it at once.
         Jobs that have begun stay, and use runners of other cells.
         """
-        if not self.evacuations.names:
+        if not self.evacuations.known:
             return
         views = [view for view in self._views.values() if not view.borrowed]
         evacuated = [view for view in views if view.evacuated]
-        if not evacuated:
-            return
         others = [view for view in views if not view.evacuated]
         unheard = any(view.worker is None for view in others)
         affected = {}  # whether jobs are, by their needs
--- a/packages/jobs/banyanwheel_jobs/owners/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owners/owner.py
@@ -66,6 +66,7 @@
         self.drains = Drains()
         self.evacuations = Evacuations.not_followed()
         self._evacuation_checked_at = float("-inf")
+        self._any_evacuated = False
 
     @property
     def partitions(self):
--- a/packages/jobs/banyanwheel_jobs/owners/transient.py
+++ b/packages/jobs/banyanwheel_jobs/owners/transient.py
@@ -54,9 +54,8 @@
         last confirmed it; :meth:`confirm_transient` extends that.
         """
         self._add_transient(_Call(submission, reply, now, expires_at, confirmed_at))
-        job = self._transient.jobs.get(submission.job_id)
-        if job is not None:
-            self._return_evacuated((job,), now)
+        if self._any_evacuated and submission.job_id in self._transient.jobs:
+            self._return_evacuated((self._transient.jobs[submission.job_id],), now)
         self.dispatch(now)
 
     def _add_transient(self, call):
--- a/packages/jobs/banyanwheel_jobs/placing/runner_view.py
+++ b/packages/jobs/banyanwheel_jobs/placing/runner_view.py
@@ -21,9 +21,10 @@
 
     The runner is at ``home`` with one of the placers of its cell, which uses its room
     first. ``incarnation`` is that of the runner's process. ``outstanding`` holds the
-    assignments that no report has shown yet, by (task, run). A runner that is
-    ``evacuated`` gets no tasks. One that is ``borrowed`` belongs to a cell in which its
-    owner places no tasks otherwise. Times are seconds of the owner's clock.
+    assignments that no report has shown yet, by (task, run). The owner knows whether
+    the data centre is under an ``evacuation``. A runner that is ``borrowed`` belongs to
+    a cell in which its owner places no tasks otherwise. Times are seconds of the
+    owner's clock.
     """
 
     name: str
@@ -45,9 +46,14 @@
     failure_share: float = 0.0
     suspect_until: float = 0.0
     reopened_at: float = 0.0
-    evacuated: bool = False
+    evacuation: bool = False
     borrowed: bool = False
 
+    @property
+    def evacuated(self):
+        """Whether nothing may be started there, by the owner's or the runner's word."""
+        return self.evacuation or (self.worker is not None and self.worker.evacuated)
+
     def usable(self, now):
         """Returns whether tasks may be placed at the runner at all."""
         return self.heard(now) and self.worker.accepting and not self.evacuated
--- a/packages/jobs/banyanwheel_jobs/runners/owner_messages.py
+++ b/packages/jobs/banyanwheel_jobs/runners/owner_messages.py
@@ -193,4 +193,5 @@
             self._free_resources(now) - waiting,
             worker.labels,
             self._slowness,
+            self.evacuated,
         )
--- a/tests/jobs/owners/test_evacuating.py
+++ b/tests/jobs/owners/test_evacuating.py
@@ -123,6 +123,19 @@
     assert site.reasons == [EVACUATED]
 
 
+def test_an_owner_that_has_not_heard_learns_it_from_the_runners(site):
+    """Its log may be cut off; guards against jobs that wait or are refused there."""
+    site.submit(OTHER_JOB, tasks=8)
+    replies = site.submit(JOB)
+    for name in (HERE, THERE):
+        site.world.runners[name].set_evacuated(True, site.world.now)
+    site.run(0.5)
+    assert [reply.reason for reply in replies] == [EVACUATED]
+    rows = inspection.worker_rows(site.owner, site.world.now)
+    assert [row["evacuated"] for row in rows] == [True, True]
+    assert site.submit("c" * 16)[0].reason == EVACUATED
+
+
 def test_a_job_waits_where_a_worker_of_its_cell_is_only_silent(site):
     """Guards against refusals for a blip of the one worker that is left."""
     site.evacuate(HERE)
