Features: an evacuation that is lifted and set again at once

A second one, of a data centre that does not exist, shows when every process has read both records. The dispatchers show the workers of the first one as evacuated, and nothing starts there.

Ran tests/promises/test_evacuation.py: 5 passed, twice.

--- a/tests/features/evacuation.feature
+++ b/tests/features/evacuation.feature
@@ -45,3 +45,13 @@
     When the evacuation of dc-1 is lifted
     And a transient job of 60 tasks of 50 ms is submitted to dispatcher-1
     Then worker-1 has started tasks
+
+  Scenario: One is lifted and set again at once, and another names no data centre
+    When the data centre dc-1 is evacuated by a record of {}
+    And the evacuation of dc-1 is lifted and set again at once
+    And the data centre dc-9 is evacuated by a record of {}
+    And a transient job of 30 tasks of 50 ms is submitted to dispatcher-1
+    Then the last answer is a completed job
+    And nothing has started in dc-1 since the evacuation
+    And "show workers where evacuated = true" has 2 rows at dispatcher-1
+    And "show workers where evacuated = true" has 2 rows at dispatcher-2
--- a/tests/promises/evacuations.py
+++ b/tests/promises/evacuations.py
@@ -33,12 +33,19 @@
     world.evacuated_at = time.monotonic()
 
 
-@when(parsers.parse("the evacuation of {name} is lifted"))
+@when(parsers.re(r"the evacuation of (?P<name>[\w-]+) is lifted$"))
 def lift(world, name):
     _write(world, name, None)
     _wait_for_all(world, "evacuation:lifted", name)
 
 
+@when(parsers.parse("the evacuation of {name} is lifted and set again at once"))
+def lift_and_set_again(world, name):
+    """The records that follow show when every process has read these."""
+    _write(world, name, None)
+    _write(world, name, b"{}")
+
+
 @then(parsers.parse("nothing has started in {name} since the evacuation"))
 def check_nothing_started(world, name):
     layout = world.cluster.layout
