Simulation of load: a heavy tail of tasks, and workers that become slow

The simulation had no task that takes several times its estimate, no worker that becomes slow, and workers that report their true speed. UnevenWorld adds these; a worker's slowness comes from its ends by the runner's own formula, which is now a function of its own (no behaviour is changed).

test_overload.py and tests/jobs/runners passed.

--- a/packages/jobs/banyanwheel_jobs/runners/worker_reconciliation.py
+++ b/packages/jobs/banyanwheel_jobs/runners/worker_reconciliation.py
@@ -3,12 +3,10 @@
 from ..messages import Assignment, RunEnd
 from ..model import TRANSIENT_PARTITION, EndKind, Resources, partition_of
 from .runs import RunState, TrackedRun, UnacknowledgedEnd
+from .slowness import updated_slowness
 
 __all__ = ["WorkerReconciliation"]
 
-SLOWNESS_SMOOTHING = 0.8  # weight of the previous value when a run ends
-MIN_ESTIMATE_MS = 20
-
 _END_KINDS = {
     "done": EndKind.DONE,
     "failed": EndKind.FAILED,
@@ -84,7 +82,9 @@
         if run and kind is EndKind.LAPSED:
             self._log_lapse(run, now)
         if run and kind is EndKind.DONE:
-            self._update_slowness(run, run_ms)
+            self._slowness = updated_slowness(
+                self._slowness, run_ms, run.order.estimate_ms
+            )
 
     def _partition_and_owner(self, run, task):
         """Returns the partition and the owner of a run, None for an unknown owner."""
@@ -92,15 +92,6 @@
             return run.partition, run.owner
         return partition_of(task.job, self._partitions), None
 
-    def _update_slowness(self, run, run_ms):
-        ratio = run_ms / max(MIN_ESTIMATE_MS, run.order.estimate_ms)
-        if not self._slowness:
-            self._slowness = ratio
-            return
-        self._slowness = (
-            SLOWNESS_SMOOTHING * self._slowness + (1 - SLOWNESS_SMOOTHING) * ratio
-        )
-
     def _reconcile_run(self, running, now):
         key = (running.task, running.run)
         run = self._runs.get(key)
--- a/tests/jobs/owners/overload_world.py
+++ b/tests/jobs/owners/overload_world.py
@@ -108,6 +108,7 @@
 class _Worker:
     name: str
     speed: float
+    slowness: float  # as reported
     free: int
     capacity: int
     accepting: bool = True
@@ -168,7 +169,7 @@
         self._callers_return = callers_return
         self._until = self.now + seconds
         self._workers = [
-            _Worker(f"worker-{number:02}", speed, cpu, cpu)
+            _Worker(f"worker-{number:02}", speed, 1 / speed, cpu, cpu)
             for number, speed in enumerate(speeds)
         ]
         self.owners = [self._build_owner(number) for number in range(len(shares))]
@@ -258,8 +259,7 @@
         numbers = self._numbers[kind]
         width = max(1, round(kind.tasks * numbers.lognormvariate(0, 0.4)))
         run_ms = kind.run_ms * numbers.lognormvariate(0, RUN_SPREAD)
-        off = numbers.lognormvariate(0, ESTIMATE_SPREAD)
-        estimate = max(1, round(run_ms * off))
+        estimate = max(1, round(run_ms * numbers.lognormvariate(0, ESTIMATE_SPREAD)))
         submission = Submission(
             f"{len(self.calls):016x}",
             kind.queue,
@@ -320,16 +320,17 @@
                 continue
             worker.waiting.remove(run)
             worker.free -= run.assignment.resources.cpu
-            call = self.calls[int(run.assignment.task.job, 16)]
-            # The same for each run of a task, whatever ran before.
-            numbers = random.Random(f"{self._seed}/{run.assignment.task}")
-            off = numbers.lognormvariate(0, TASK_SPREAD)
-            seconds = call.run_s * off / worker.speed
-            run.began_at, run.ends_at = self.now, self.now + seconds
+            run.began_at = self.now
+            run.ends_at = self.now + self._run_s(worker, run.assignment.task)
             worker.runs[run.key] = run
             self.begun.add(run.assignment.task.job)
             self._at(run.ends_at, lambda run=run: self._end(worker, run, EndKind.DONE))
 
+    def _run_s(self, worker, task):
+        """Returns a task's run time at a worker, the same whatever ran before."""
+        off = random.Random(f"{self._seed}/{task}").lognormvariate(0, TASK_SPREAD)
+        return self.calls[int(task.job, 16)].run_s * off / worker.speed
+
     def _stop(self, worker, message):
         stopped = {(item.task, item.run) for item in message.runs}
         for run in [*worker.waiting, *worker.runs.values()]:
@@ -383,7 +384,7 @@
             Resources(worker.capacity),
             Resources(worker.free - waiting),
             (),
-            1 / worker.speed,
+            worker.slowness,
         )
         report = Report(round(self.now * 1000), True, status, (), runs, ends)
         owner = self.owners[placer]
