A long task stays, a run on a slow worker moves

A run was stopped once its remaining time was twice the expected one, whatever the reason: a task that takes long by itself was stopped once for nothing, its worker was suspected for 2 s, and the mean of run time over estimate made the worker look slow.

Each placer now learns run time over estimate by kind of task (Durations, quantiles with a prior, half-life 5 s) and the pace of each worker by kind (Pace, the median over jobs, so that neither a long task nor a job's bad estimate counts for much). A run is moved if other jobs' runs at its worker are slow beyond chance, and a run at another worker that has room now ends sooner, with the stop and the time of the new run; once per task, without suspicion. A run that stands still is moved as before. A new worker, one back from a fault, and one that was slow and has no fresh samples, gets two runs at a time until its pace is known, while at least half of the workers are known.

--- a/packages/jobs/banyanwheel_jobs/owners/job.py
+++ b/packages/jobs/banyanwheel_jobs/owners/job.py
@@ -47,6 +47,7 @@
     restarts: int = 0  # runs that were stopped as stragglers
     percent: int = 0  # of its newest run
     last_progress_age_ms: int = 0  # age of the newest run when its percentage last rose
+    measured_run: int = 0  # the newest run counted in the durations of its kind
     checkpoint: str = ""
     unknown_run_until: float = 0.0
     avoided_runners: set = field(default_factory=set)
--- a/packages/jobs/banyanwheel_jobs/owners/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owners/owner.py
@@ -11,6 +11,7 @@
 
 from ..authority import replacement_delay_s
 from ..cells.placers import offers_of, suits
+from ..durations.durations import Durations
 from ..messages import StopTasks, TaskRun
 from ..model import TRANSIENT_PARTITION, JobState, Submission, partition_of
 from ..outcomes import RETRY_AFTER_MS, Outcome, Reply
@@ -19,7 +20,9 @@
 from .drains import Drains
 from .job import Job
 from .partition import Partition, PendingSubmission
+from .progress_handling import ProgressHandling
 from .report_handling import ReportHandling
+from .stragglers import PromisedRoom
 from .supervision import Supervision
 from .transient import TransientJobs
 from .waiting import WaitingJobs
@@ -31,7 +34,7 @@
 ROOM_WAIT_S = 1.0  # a stored job waits this long for room in its owner's cells
 
 
-class Owner(ReportHandling, TransientJobs, Dispatching, Supervision):
+class Owner(ReportHandling, ProgressHandling, TransientJobs, Dispatching, Supervision):
     """The jobs of the owned partitions, and the runners that run their tasks."""
 
     def __init__(
@@ -47,6 +50,8 @@
     ):
         self._partition_count = partitions
         self._placement = placement
+        self._durations = Durations()
+        self._promised_room = PromisedRoom()
         self._replacement_s = replacement_delay_s(transient=False)
         self._transient_replacement_s = replacement_delay_s(transient=True)
         self._retention_ms = (retention_s + RETENTION_MARGIN_S) * 1000
@@ -94,6 +99,11 @@
         """The policy that chooses a runner for each task."""
         return self._placement
 
+    @property
+    def durations(self):
+        """The expected duration of tasks by kind, as learned here."""
+        return self._durations
+
     @property
     def transient(self):
         """The partition of the transient jobs, which are not stored."""
--- a/packages/jobs/banyanwheel_jobs/owners/report_handling.py
+++ b/packages/jobs/banyanwheel_jobs/owners/report_handling.py
@@ -3,7 +3,6 @@
 from ..messages import EndsAcknowledged, StopTasks, TaskRun
 from ..model import TRANSIENT_PARTITION, EndKind
 from .job import TaskState
-from .stragglers import is_straggling
 
 __all__ = ["ReportHandling"]
 
@@ -52,6 +51,7 @@
         acknowledged, superseded = [], []
         for end in report.ends:
             self._handle_run_end(view, end, now, acknowledged, superseded)
+        view.refresh_pace(self._durations, now)
         if acknowledged or superseded:
             self._send(
                 view.name, EndsAcknowledged(tuple(acknowledged), tuple(superseded))
@@ -76,25 +76,6 @@
         else:
             self._stop(partition, view, status, "outdated")
 
-    def _check_progress(self, partition, job, task, view, status, now):
-        """Stops a run that is a straggler, so that its task is placed elsewhere."""
-        expected_s = job.step_of(task).estimate_ms / 1000 * max(1.0, view.slowness)
-        stalled_ms = task.record_progress(status.percent, status.age_ms)
-        if not is_straggling(
-            status.percent,
-            status.age_ms / 1000,
-            expected_s,
-            stalled_s=stalled_ms / 1000,
-            restarts=task.restarts,
-        ):
-            return
-        task.stopping = True
-        task.restarts += 1
-        task.avoided_runners.add(view.name)
-        view.suspect(now)
-        self._stop(partition, view, status, "straggling")
-        self._event_log.count("banyanwheel.stops", "straggling")
-
     def _stop(self, partition, view, status, reason):
         run = TaskRun(status.task, status.run)
         self._send(view.name, StopTasks(partition.number, partition.epoch, (run,)))
@@ -178,6 +159,7 @@
             acknowledged.append(TaskRun(end.task, end.run))
         match end.kind:
             case EndKind.DONE:
+                self._learn(job, task, view, end.run_ms, now)
                 job.finish(task, end.run)
                 if job.complete and job.live:
                     self._end_job(partition, job, "complete")
--- a/packages/jobs/banyanwheel_jobs/placing/placement.py
+++ b/packages/jobs/banyanwheel_jobs/placing/placement.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from ..durations.durations import Kind
 from ..owners.job import LATE_FACTOR
 
 __all__ = [
@@ -20,6 +21,7 @@
 # The fuller such a worker is, the sooner its own placer takes the room that is left:
 # this share is added to its cost when it is full, and none when it is idle.
 BUSY_ELSEWHERE_SHARE = 0.5
+MIN_TRIED_SHARE = 0.5  # below it, as after a placer's start, all workers are as new
 TIER_S = 1_000.0
 ON_TIME_TIER = 0
 WAIT_FOR_FASTER_S = 1.0  # short, so that free room isn't left unused for long
@@ -98,9 +100,12 @@
         others = [view for view in allowed if view.name not in task.avoided_runners]
         if any_runner or not others:
             others = allowed
+        elif any(view.pace.on_trial for view in others):
+            others = _without_full_trials(others)
+        kind = Kind.from_task(job, task)
         best, least, fastest = None, float("inf"), float("inf")
         for view in others:
-            cost = self._cost(step, view, used)
+            cost = self._cost(step, view, used, kind)
             fastest = min(fastest, cost)
             if cost < least and view.room_for(step.resources):
                 best, least = view, cost
@@ -118,10 +123,13 @@
         limit = step.max_per_worker
         return not limit or job.on_worker(task.id.step, view.name) < limit
 
-    def _cost(self, step, view, used):
-        cost = view.slowness
-        if step.rack and step.rack not in view.worker.labels:
-            cost *= self._remote_rack_factor
+    def rack_factor(self, step, view):
+        """Returns how much longer a task takes for want of its rack's data."""
+        remote = step.rack and step.rack not in view.worker.labels
+        return self._remote_rack_factor if remote else 1.0
+
+    def _cost(self, step, view, used, kind):
+        cost = view.slowness_for(kind) * self.rack_factor(step, view)
         if view.data_centre != self._data_centre:
             cost *= OTHER_DATA_CENTRE_FACTOR
         if not view.home:
@@ -132,6 +140,17 @@
         return cost
 
 
+def _without_full_trials(views):
+    """Leaves out workers on trial that have enough runs, while most are not on trial.
+
+    A new worker, or one back from a fault, may be slow or fail, and has most room.
+    """
+    tried = [view for view in views if not view.pace.on_trial]
+    if len(tried) < MIN_TRIED_SHARE * len(views):
+        return views
+    return [view for view in views if not view.trial_full]
+
+
 def _worth_waiting(job, step, least, fastest, now):
     """Tells whether only a worker without room now would end a task on time."""
     if now - job.received_at > WAIT_FOR_FASTER_S:
--- a/packages/jobs/banyanwheel_jobs/placing/runner_view.py
+++ b/packages/jobs/banyanwheel_jobs/placing/runner_view.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..authority import StampTracker
+from ..durations.pace import Pace
 from ..model import Resources
 
 __all__ = ["RunnerView"]
@@ -11,6 +12,7 @@
 FAILURE_MEMORY = 0.8  # weight of the previous failure share at each end of a run
 FAILING_SHARE = 0.5  # a worker with a higher failure share is suspected
 SUSPECT_S = 2.0  # a worker whose runs fail or stall gets no new ones for this long
+TRIAL_RUNS = 2  # at once at a worker on trial; enough to show its pace
 MIN_SLOWNESS = 0.2
 MAX_SLOWNESS = 20.0
 
@@ -44,6 +46,7 @@
     failure_share: float = 0.0
     suspect_until: float = 0.0
     reopened_at: float = 0.0
+    pace: Pace = field(default_factory=Pace)
 
     def usable(self, now):
         """Returns whether tasks may be placed at the runner at all."""
@@ -73,16 +76,34 @@
     @property
     def slowness(self):
         """The ratio of the expected run time to a task's estimate, within limits."""
-        slowness = self.worker.slowness or 1.0
+        return self.slowness_for(None)
+
+    def slowness_for(self, kind):
+        """Returns the slowness for tasks of one kind, or all of them if it is None."""
+        slowness = self.pace.estimate(self.worker.slowness, kind).slowness
         return min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
 
+    def refresh_pace(self, durations, now):
+        """Renews what is known of the worker's pace, if that is due."""
+        if self.worker is not None and self.pace.due(now):
+            self.pace.refresh(self.worker.slowness, durations, now)
+
+    @property
+    def trial_full(self):
+        """Whether the worker is on trial and has as many runs as it is tried with."""
+        return (
+            self.pace.on_trial
+            and len(self.listed) + len(self.outstanding) >= TRIAL_RUNS
+        )
+
     def suspected(self, now):
         """Returns whether runs at the worker have recently failed or stalled."""
         return now < self.suspect_until
 
     def suspect(self, now):
-        """Keeps new runs away from the worker for ``SUSPECT_S``."""
+        """Keeps new runs away from the worker for ``SUSPECT_S``, then tries it."""
         self.suspect_until = now + SUSPECT_S
+        self.pace.begin_trial()
 
     def record_end(self, failed, now):
         """Updates the failure share; suspects the worker if too many runs fail."""
@@ -95,6 +116,8 @@
     def apply_report(self, report):
         """Updates the view; assignments that the report shows are not outstanding."""
         if self.worker is not None and report.worker is not None:
+            if report.worker.incarnation != self.worker.incarnation:
+                self.pace.begin_trial()
             self.newly_freed = report.worker.free.excess_over(self.worker.free)
         self.worker = report.worker
         self.listed = {(status.task, status.run) for status in report.runs}
--- a/tests/jobs/owners/test_uneven.py
+++ b/tests/jobs/owners/test_uneven.py
@@ -9,6 +9,8 @@
 
 from functools import cache
 
+import pytest
+
 from .overload_world import Kind
 from .uneven_world import UnevenWorld
 
@@ -19,8 +21,11 @@
 )
 SPEEDS = (1.0, 1.3, 1.1, 1.2, 1.0, 1.3, 1.1, 1.2, 1.0, 1.3, 1.1, 1.2)
 SIZES = (1.0, 1.5)
+CPU = 8_000  # of a worker of size 1; about 70% of it is in use
 SECONDS = 10
 SEEDS = (1, 2, 3)
+CHANCE = 1 / 40  # of a usual worker to be taken for a slow one
+SLOWED = "worker-03"
 SITUATIONS = {
     "usual": {"tail_share": 0.0},
     "tail": {},
@@ -35,6 +40,7 @@
         KINDS,
         SPEEDS,
         SECONDS,
+        cpu=CPU,
         shares=(1, 1, 1),
         seed=seed,
         sizes=SIZES * 6,
@@ -42,3 +48,32 @@
     )
     world.play()
     return world
+
+
+def test_nothing_is_stopped_while_workers_and_tasks_are_usual():
+    assert not any(play("usual", seed).stops for seed in SEEDS)
+
+
+def test_long_tasks_are_left_alone():
+    worlds = [play("tail", seed) for seed in SEEDS]
+    long_tasks = sum(len(world.long_tasks) for world in worlds)
+    assert sum(len(world.stops) for world in worlds) <= CHANCE * long_tasks
+
+
+def test_runs_leave_a_slow_worker():
+    worlds = [play("recovers", seed) for seed in SEEDS]
+    assert any(stop.worker == SLOWED for world in worlds for stop in world.stops)
+
+
+@pytest.mark.parametrize("situation", SITUATIONS)
+def test_no_task_is_moved_twice(situation):
+    for seed in SEEDS:
+        tasks = [stop.task for stop in play(situation, seed).stops]
+        assert len(tasks) == len(set(tasks))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_worker_that_has_recovered_gets_tasks_again(seed):
+    until = SITUATIONS["recovers"]["slowdowns"][0][2]
+    starts = play("recovers", seed).starts
+    assert any(at > until and name == SLOWED for at, name in starts)
--- a/tests/jobs/owners/uneven_world.py
+++ b/tests/jobs/owners/uneven_world.py
@@ -25,6 +25,7 @@
     It was ``needless`` if the worker was not slowed down.
     """
 
+    task: object
     worker: str
     run_s: float
     cpu: int
@@ -43,6 +44,8 @@
     ):
         super().__init__(*arguments, **options)
         self.stops = []
+        self.starts = []  # (time, worker's name)
+        self.long_tasks = set()
         self._tail_share = tail_share
         self._slowed = set()  # names of workers
         self._progress = {}  # (share done, time of reading) of runs by _Run
@@ -77,6 +80,9 @@
 
     def _run_s(self, worker, task):
         is_long = random.Random(f"{self._seed}/tail/{task}").random() < self._tail_share
+        self.starts.append((self.now - START_S, worker.name))
+        if is_long:
+            self.long_tasks.add(task)
         return super()._run_s(worker, task) * (TAIL_FACTOR if is_long else 1.0)
 
     def _stop(self, worker, message: StopTasks):
@@ -86,6 +92,7 @@
             if run is not None and call.answered_at is None:
                 self.stops.append(
                     Stop(
+                        item.task,
                         worker.name,
                         self.now - run.began_at,
                         run.assignment.resources.cpu,
