Backlog: the work that waits for room, by service

Claims carry free room only, so a dispatcher can't tell a cell that is just full from one with seconds of work waiting. ServiceOffer gets the backlog and the demand at its end, with defaults for older processes; the owner has the sum of its waiting work. It is kept as jobs come, go and are placed; nothing walks over the waiting jobs at a claim.

--- a/packages/jobs/banyanwheel_jobs/messages.py
+++ b/packages/jobs/banyanwheel_jobs/messages.py
@@ -35,11 +35,13 @@
     "StartTasks",
     "StopTasks",
     "TaskRun",
+    "UNKNOWN_BACKLOG",
     "WorkerStatus",
 ]
 
 
 NOT_FORWARDED = -1
+UNKNOWN_BACKLOG = -1
 Count = Annotated[int, msgspec.Meta(ge=0, le=2**40)]  # sums of them can be encoded
 
 
@@ -214,13 +216,20 @@
     """The workers of one service at which a dispatcher places tasks.
 
     ``free_cpu`` and ``capacity_cpu`` are sums in thousandths of a core; ``labels`` are
-    those of any of the workers.
+    those of any of the workers. ``waiting_cpu_ms`` is the estimated work that waits at
+    the dispatcher for room, in thousandths of a core x ms; ``UNKNOWN_BACKLOG`` from a
+    dispatcher that does not count it. ``demand_cpu`` is the estimated work that its
+    callers submit, in thousandths of a core, averaged over about a second;
+    ``demand_trend_cpu`` is the change of that per second.
     """
 
     service: str
     free_cpu: int
     capacity_cpu: int
     labels: tuple[str, ...]
+    waiting_cpu_ms: int = UNKNOWN_BACKLOG
+    demand_cpu: int = 0
+    demand_trend_cpu: int = 0
 
 
 class Claims(_Message):
--- a/packages/jobs/banyanwheel_jobs/owners/dispatching.py
+++ b/packages/jobs/banyanwheel_jobs/owners/dispatching.py
@@ -84,6 +84,7 @@
             self._send_assignments(job, view, assignments, now)
         if assignments_by_view:
             room.recount()
+            self._waiting.recount(job)
         if impossible and not possible and not job.placed():
             self._waiting.park(job, frozenset(impossible), room.supply)
         elif complete and not self._has_waiting(job):
--- a/packages/jobs/banyanwheel_jobs/owners/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owners/owner.py
@@ -325,6 +325,14 @@
         """Whether a job may have tasks to place."""
         return bool(self._waiting)
 
+    @property
+    def waiting_cpu_ms(self):
+        """The estimated work that waits for room, by service.
+
+        It is in thousandths of a core x ms. Jobs that no worker may run don't count.
+        """
+        return self._waiting.work_by_service
+
     def needs_all_runners(self, now):
         """Returns whether the known runners may not be enough.
 
--- a/packages/jobs/banyanwheel_jobs/owners/waiting.py
+++ b/packages/jobs/banyanwheel_jobs/owners/waiting.py
@@ -12,6 +12,8 @@
 
     def __init__(self):
         self._active = set()
+        self._work = {}  # in thousandths of a core x ms, by active job
+        self._work_by_service = {}
         self._parked = {}  # sets of jobs by their needs
         self._needs = {}  # by parked job
         self._supply = frozenset()  # of workers, when the parked jobs were last checked
@@ -24,6 +26,15 @@
         """The jobs that are not parked."""
         return self._active
 
+    @property
+    def work_by_service(self):
+        """The estimated work of the active jobs' waiting tasks, by service.
+
+        It is in thousandths of a core x ms, and kept as jobs come and go: summing it up
+        would take longer the more jobs wait.
+        """
+        return self._work_by_service
+
     @property
     def samples(self):
         """The active jobs, and one of the parked jobs for each kind of needs."""
@@ -33,6 +44,23 @@
         """Adds a job, or has a parked one tried again."""
         self._unpark(job)
         self._active.add(job)
+        self.recount(job)
+
+    def recount(self, job):
+        """Counts the waiting work of an active job anew, after tasks were placed."""
+        if job in self._active:
+            self._set_work(job, round(1000 * job.waiting_work_cpu_s))
+
+    def _set_work(self, job, work):
+        service = job.submission.queue.service
+        change = work - self._work.pop(job, 0)
+        if work:
+            self._work[job] = work
+        total = self._work_by_service.get(service, 0) + change
+        if total:
+            self._work_by_service[service] = total
+        else:
+            self._work_by_service.pop(service, None)
 
     def update(self, jobs):
         """Adds several jobs."""
@@ -43,6 +71,7 @@
         """Removes a job if it is there."""
         self._unpark(job)
         self._active.discard(job)
+        self._set_work(job, 0)
 
     def difference_update(self, jobs):
         """Removes several jobs."""
@@ -60,6 +89,7 @@
         ``needs`` is a frozen set of (service, label, resources).
         """
         self._active.discard(job)
+        self._set_work(job, 0)
         self._parked.setdefault(needs, set()).add(job)
         self._needs[job] = needs
         self._supply = supply
