Balance between cells by their expected waits

Once all cells were short of room, each data centre's callers waited in a queue of their own: a job moved only to a cell with more than 10% free room. Beside tasks of 2.8 cores, full workers of 32 have 4% free, so that the own cell never counted as crowded (less than 3%) either.

A crowded cell now moves part of its jobs to cells with less expected wait: as much as evens out the waits of all cells in 2 s, shared among the cells with too much and those with too little, so that claims up to 1 s old cause no herd. The job's id decides whether it goes and where. A cell with free room and a wait below the queue's target_ms keeps its jobs as before; offers of older processes are judged by free room as before.

--- a/packages/daemon/banyanwheel_daemon/contacts.py
+++ b/packages/daemon/banyanwheel_daemon/contacts.py
@@ -62,7 +62,12 @@
             return None
         now = boot_time()
         if now - self._offers_at > OFFERS_MAX_AGE_S:
-            self._offers = offers_of(self._owner.views.values(), now)
+            self._offers = offers_of(
+                self._owner.views.values(),
+                now,
+                self._owner.waiting_cpu_ms,
+                self._placers.demand,
+            )
             self._offers_at = now
         return self._offers
 
@@ -93,8 +98,10 @@
     def _update_election(self):
         """Decides anew in which cells to place tasks."""
         now = boot_time()
-        if self._election.update(self._placers.live(now), now):
-            names = [cell.name for cell in self._election.placing]
+        changed = self._election.update(self._placers.live(now), now)
+        names = [cell.name for cell in self._election.placing]
+        self._placers.set_own_cells(names)
+        if changed:
             self._event_log("cells:placing", cells=names)
             self._ownership.renew_soon()
 
--- a/packages/daemon/banyanwheel_daemon/dispatcher.py
+++ b/packages/daemon/banyanwheel_daemon/dispatcher.py
@@ -60,12 +60,13 @@
         self._owner = self._create_owner()
         self._views = self._owner.views
         self._members = Members(self._log, self.event_log)
-        self._placers = Placers()
+        self._placers = Placers(settings.jobs.remote_rack_factor, self.event_log)
         self._hosted = HostedJobs(
             self._owner,
             self._send_to_entry,
             lambda: self._contacts.placing,
             self.event_log,
+            self._placers.record_hosted,
         )
         self._ownership = self._create_ownership()
         self._contacts = self._create_contacts()
--- a/packages/daemon/banyanwheel_daemon/transient_requests.py
+++ b/packages/daemon/banyanwheel_daemon/transient_requests.py
@@ -91,6 +91,7 @@
             tasks=sum(step.count for step in steps),
             deadline_ms=round(deadline_s * 1000),
         )
+        self._placers.demand.record(submission, now)
         request = _Request(submission, reply, now, now + deadline_s, is_connected)
         self._requests.add(request)
         if may_outlast(submission, now, self._shutdown_deadline):
@@ -137,6 +138,7 @@
                 self._finish(request, answer)
 
         if placer is not None:
+            self._placers.record_sent(placer, submission)
             request.abandon = self._forwarded.start(
                 submission, ended, placer, now, request.expires_at, tried
             )
--- a/packages/jobs/banyanwheel_jobs/cells/forwarding.py
+++ b/packages/jobs/banyanwheel_jobs/cells/forwarding.py
@@ -188,13 +188,15 @@
     """The placer's side: jobs that it runs for the callers of other dispatchers.
 
     ``send(entry, message)`` sends to an entry, an (address, incarnation). ``placing()``
-    tells whether this dispatcher places tasks at present.
+    tells whether this dispatcher places tasks at present. ``on_hosted(address,
+    submission, now)`` is called for each job that is taken.
     """
 
-    def __init__(self, owner, send, placing, event_log):
+    def __init__(self, owner, send, placing, event_log, on_hosted=None):
         self._owner = owner
         self._send = send
         self._placing = placing
+        self._on_hosted = on_hosted
         self._event_log = event_log
         self._entries = {}  # _Entry by (address, incarnation)
         self._shutdown_deadline = float("inf")
@@ -248,6 +250,8 @@
             entry=entry[0],
             delay_ms=round(now * 1000) - message.sent_at_ms,
         )
+        if self._on_hosted is not None:
+            self._on_hosted(entry[0], submission, now)
         confirmed_at = message.sent_at_ms / 1000
         expires_at = message.expires_at_ms / 1000
         self._owner.run_transient(submission, reply, now, expires_at, confirmed_at)
--- a/packages/jobs/banyanwheel_jobs/cells/placers.py
+++ b/packages/jobs/banyanwheel_jobs/cells/placers.py
@@ -1,14 +1,17 @@
 """The dispatchers that place tasks, as one dispatcher hears of them, and their choice.
 
 A job goes to a placer of its caller's data centre if that has what the job needs and
-room for it, else to the one elsewhere that has most room.
+room for it, else to one elsewhere that has much room. Between cells that tell what
+waits there, the balance of their waits decides.
 """
 
 import zlib
+from collections import Counter
 from dataclasses import dataclass, field
 
 from ..authority import StampTracker
-from ..messages import ServiceOffer
+from ..messages import UNKNOWN_BACKLOG, ServiceOffer
+from .balance import CellLoad, DemandMeter, choose_cell, work_cpu_ms
 from .election import CLAIMS_TIMEOUT_S
 
 __all__ = ["Placer", "Placers", "offers_of", "suits"]
@@ -34,14 +37,25 @@
     offers: tuple[ServiceOffer, ...] = ()
     heard_at: float = float("-inf")
     clock: StampTracker = field(default_factory=StampTracker)
+    # Work sent there since its last claims, by service, in thousandths of a core x ms.
+    sent_cpu_ms: Counter = field(default_factory=Counter)
 
 
 class Placers:
-    """The other dispatchers that sent claims, by address."""
+    """The other dispatchers that sent claims, by address.
 
-    def __init__(self):
+    A task takes ``remote_rack_factor`` times as long away from its data. ``demand``
+    measures what the callers of this dispatcher submit, and those of dispatchers of
+    this data centre that place no tasks.
+    """
+
+    def __init__(self, remote_rack_factor=1.0, event_log=None):
+        self._remote_rack_factor = remote_rack_factor
         self._placers = {}
         self._near = frozenset()
+        self._own_cells = ()
+        self._event_log = event_log or (lambda event, **fields: None)
+        self.demand = DemandMeter()
 
     @property
     def near(self):
@@ -52,6 +66,10 @@
         """Sets the dispatchers of this data centre, which send claims often."""
         self._near = frozenset(addresses)
 
+    def set_own_cells(self, names):
+        """Sets the names of the cells in which this dispatcher places tasks."""
+        self._own_cells = tuple(names)
+
     def get(self, address):
         """Returns the Placer of an address, or None."""
         return self._placers.get(address)
@@ -65,8 +83,21 @@
         placer.cells = claims.cells
         placer.offers = claims.offers
         placer.heard_at = now
+        placer.sent_cpu_ms.clear()
         placer.clock.receive(claims.sent_at_ms, now)
 
+    @staticmethod
+    def record_sent(placer, submission):
+        """Records that a job was sent to a placer, whose last claims don't show it."""
+        service = submission.queue.service
+        placer.sent_cpu_ms[service] += work_cpu_ms(submission)
+
+    def record_hosted(self, address, submission, now):
+        """Records a job that another dispatcher has sent here, for the demand."""
+        placer = self._placers.get(address)
+        if address in self._near and (placer is None or not placer.cells):
+            self.demand.record(submission, now)
+
     def forget_absent(self, addresses):
         """Drops the dispatchers that are no longer members and send nothing."""
         for address in set(self._placers) - set(addresses):
@@ -105,24 +136,91 @@
         tasks. None is also returned if no placer is known.
         """
         candidates = self._candidates(now, excluded)
-        if (
-            own_offers is not None
-            and _free_share(own_offers, submission) > CROWDED_SHARE
-        ):
+        if own_offers is not None and _keeps(own_offers, submission):
             return None
         near = [placer for placer in candidates if placer.address in self._near]
         if own_offers is None:
-            roomy = _with_room(near, submission, CROWDED_SHARE)
+            roomy = [placer for placer in near if _keeps(placer.offers, submission)]
             if roomy:
                 return _by_job(roomy, submission.job_id)
         far = [placer for placer in candidates if placer.address not in self._near]
+        own, others = self._loads(submission, candidates, own_offers, now)
         roomy = _with_room(far, submission, ROOMY_SHARE)
+        if own is not None and own.known and not _racks(submission):
+            # Much room there now is no reason for all cells to send all their jobs.
+            roomy = [
+                placer for placer in roomy if not _knows_backlog(placer, submission)
+            ]
         if roomy:
             return _by_job(roomy, submission.job_id)
+        if own is not None and own.known:
+            cell = self._balance(submission, own, others)
+            if cell is not own:
+                return _by_job(cell.placers, submission.job_id)
         if own_offers is not None and suits(own_offers, submission):
             return None
         return self._last_resort(near, far, submission, own_offers)
 
+    def _loads(self, submission, candidates, own_offers, now):
+        """Returns the CellLoad of the own cell, None for none, and those of others.
+
+        That of a dispatcher that places no tasks is the near one with the least wait.
+        """
+        service = submission.queue.service
+        loads = {}
+        own_offer = None if own_offers is None else _offer_for(own_offers, submission)
+        if own_offer is not None:
+            own = CellLoad.from_offer(None, own_offer, now, now)
+            loads[self._own_cells] = own
+        for placer in candidates:
+            offer = _offer_for(placer.offers, submission)
+            if offer is None or not offer.capacity_cpu:
+                continue
+            load = placer, offer, placer.heard_at, now, placer.sent_cpu_ms[service]
+            if placer.cells in loads:
+                loads[placer.cells].add(*load)
+            else:
+                loads[placer.cells] = CellLoad.from_offer(*load)
+        if own_offers is None:
+            run_ms = submission.critical_path_ms
+            near = [load for load in loads.values() if self._is_near(load)]
+            own = min(near, key=lambda load: load.wait_s(run_ms), default=None)
+        elif own_offer is None:
+            own = None
+        return own, [load for load in loads.values() if load is not own and load.known]
+
+    def _is_near(self, load):
+        return any(placer.address in self._near for placer in load.placers)
+
+    def _balance(self, submission, own, others):
+        """Returns the CellLoad to which the waits send a job, which may be its own."""
+        extra_s = self._extra_s(submission)
+        if _has_room(own.offer, submission):
+            # Only the job's data is elsewhere.
+            others = [load for load in others if not extra_s(load)]
+        cell = choose_cell(submission, own, others, extra_s)
+        if cell is None:
+            return own
+        run_ms = submission.critical_path_ms
+        self._event_log(
+            "request:balanced",
+            job=submission.job_id,
+            cells=cell.placers[0].cells,
+            wait_ms=round(1000 * own.expected_wait_s(run_ms)),
+            wait_there_ms=round(1000 * cell.expected_wait_s(run_ms)),
+        )
+        return cell
+
+    def _extra_s(self, submission):
+        """Returns a function: how much longer a job runs in a cell without its data."""
+        racks = _racks(submission)
+        extra_s = (self._remote_rack_factor - 1) * submission.critical_path_ms / 1000
+
+        def extra(cell):
+            return extra_s if racks and racks.isdisjoint(cell.offer.labels) else 0.0
+
+        return extra
+
     def has_room(self, submission, now, excluded):
         """Returns whether a placer that is not excluded has room for a job."""
         candidates = self._candidates(now, excluded)
@@ -154,8 +252,12 @@
         return _by_job(near or far, submission.job_id)
 
 
-def offers_of(views, now):
-    """Returns the ServiceOffer of each service for the usable ones of ``views``."""
+def offers_of(views, now, waiting_cpu_ms=None, demand=None):
+    """Returns the ServiceOffer of each service for the usable ones of ``views``.
+
+    ``waiting_cpu_ms`` is the work that waits for room, by service, and ``demand`` the
+    DemandMeter of this dispatcher's callers; both are None where they don't matter.
+    """
     by_service = {}
     for view in views:
         if view.usable(now):
@@ -166,6 +268,10 @@
             sum(max(0, view.free.cpu) for view in group),
             sum(view.worker.capacity.cpu for view in group),
             tuple(sorted({label for view in group for label in view.worker.labels})),
+            UNKNOWN_BACKLOG
+            if waiting_cpu_ms is None
+            else max(0, waiting_cpu_ms.get(service, 0)),
+            *((0, 0) if demand is None else demand.rate(service, now)),
         )
         for service, group in sorted(by_service.items())
     )
@@ -193,12 +299,42 @@
     offer = _offer_for(offers, submission)
     if offer is None or not offer.capacity_cpu:
         return -1.0
-    racks = {step.rack for step in submission.steps if step.rack}
+    racks = _racks(submission)
     if racks and racks.isdisjoint(offer.labels):
         return -1.0
     return offer.free_cpu / offer.capacity_cpu
 
 
+def _racks(submission):
+    return {step.rack for step in submission.steps if step.rack}
+
+
+def _knows_backlog(placer, submission):
+    """Returns whether a placer tells what waits for room there."""
+    offer = _offer_for(placer.offers, submission)
+    return offer is not None and offer.waiting_cpu_ms != UNKNOWN_BACKLOG
+
+
+def _keeps(offers, submission):
+    """Returns whether a job stays in a cell without regard to others."""
+    return _free_share(offers, submission) > CROWDED_SHARE and _has_room(
+        _offer_for(offers, submission), submission
+    )
+
+
+def _has_room(offer, submission):
+    """Returns whether a cell has room, wherever the data of a job is.
+
+    Beside tasks of 2.8 cores, full workers of 32 have 4% left, too little for another
+    one: work may wait beside more than ``CROWDED_SHARE``.
+    """
+    wait_ms = offer.waiting_cpu_ms / max(1, offer.capacity_cpu)
+    return (
+        offer.free_cpu > CROWDED_SHARE * offer.capacity_cpu
+        and wait_ms <= submission.queue.target_ms
+    )
+
+
 def _with_room(placers, submission, share):
     return [
         placer for placer in placers if _free_share(placer.offers, submission) > share
