--- a/packages/jobs/banyanwheel_jobs/runners/slowness.py
+++ b/packages/jobs/banyanwheel_jobs/runners/slowness.py
@@ -1,6 +1,6 @@
 """The slowness of a worker, from the run times of the tasks that it has done."""
 
-__all__ = ["updated_slowness"]
+__all__ = ["MIN_ESTIMATE_MS", "updated_slowness"]
 
 SLOWNESS_SMOOTHING = 0.8  # weight of the previous value when a run ends
 MIN_ESTIMATE_MS = 20
--- a/packages/jobs/banyanwheel_jobs/runners/worker_reconciliation.py
+++ b/packages/jobs/banyanwheel_jobs/runners/worker_reconciliation.py
@@ -3,7 +3,7 @@
 from ..messages import Assignment, RunEnd
 from ..model import TRANSIENT_PARTITION, EndKind, Resources, partition_of
 from .runs import RunState, TrackedRun, UnacknowledgedEnd
-from .slowness import updated_slowness
+from .slowness import MIN_ESTIMATE_MS, updated_slowness
 
 __all__ = ["WorkerReconciliation"]
 
