--- a/packages/jobs/banyanwheel_jobs/durations/pace.py
+++ b/packages/jobs/banyanwheel_jobs/durations/pace.py
@@ -6,6 +6,7 @@
 
 import math
 from dataclasses import dataclass
+from statistics import median_low
 
 from .histogram import PRIOR_SPREAD
 
@@ -39,7 +40,7 @@
 class _JobPace:
     """The runs of a job and kind; ``weight`` is 1 for fresh ones."""
 
-    __slots__ = ("_ratios", "_total", "at", "job", "kind", "weight")
+    __slots__ = ("_median", "_ratios", "at", "job", "kind", "weight")
 
     def __init__(self, job, kind):
         self.job = job
@@ -47,22 +48,26 @@
         self.at = 0.0  # when its newest run was first measured
         self.weight = 1.0
         self._ratios = {}  # logarithms by (task, run)
-        self._total = 0.0
+        self._median = None  # None if they have changed
 
     @property
     def log_ratio(self):
-        """The mean of the logarithms of run time over estimate."""
-        return self._total / len(self._ratios)
+        """The median of the logarithms of run time over estimate.
+
+        Of two runs it is the lower one, since the other may be long by itself.
+        """
+        if self._median is None:
+            self._median = median_low(self._ratios.values())
+        return self._median
 
     def record(self, key, log_ratio, now):
         """Records a run; it keeps the time of its first record."""
-        known = self._ratios.get(key)
-        if known is None:
+        if key not in self._ratios:
             if len(self._ratios) >= MAX_RUNS:
                 return
             self.at = now
         self._ratios[key] = log_ratio
-        self._total += log_ratio - (known or 0.0)
+        self._median = None
 
 
 class Pace:
--- a/tests/jobs/durations/test_pace.py
+++ b/tests/jobs/durations/test_pace.py
@@ -27,6 +27,15 @@
     assert not with_one.seems_slow
 
 
+def test_one_long_task_of_each_of_many_jobs_does_not_make_its_worker_slow():
+    """With eight tasks each, a fifth of the jobs have a long one."""
+    pace = paced([1.0] * 8)
+    for number in range(8):
+        pace.record((f"long{number}", 1), f"job-{number}", KIND, 7.0, NOW)
+    pace.refresh(0.0, Durations(), NOW)
+    assert not pace.seems_slow
+
+
 def test_a_bad_estimate_of_one_job_does_not_make_its_worker_slow():
     """Its tasks are all as far off, however many of them run there."""
     pace = paced([1.0] * 4)
