Operators see workers on trial; the pace of a worker takes less memory

show workers has on_trial, and why tells of tasks that wait since the workers with room are tried with few tasks. A pace is keyed by the index of a task and not by its id, which kept the ids of ended jobs, and jobs of little weight are dropped.

--- a/packages/core/banyanwheel_core/language/tables.py
+++ b/packages/core/banyanwheel_core/language/tables.py
@@ -115,6 +115,7 @@
         *_flags(
             accepting="whether its runner takes tasks for it",
             suspected="whether it is left out since runs failed or stood still there",
+            on_trial="whether it gets two tasks at a time until its pace is known",
             drained="whether a drain keeps new work away",
         ),
         *_durations(age_ms="time since its runner was heard"),
--- a/packages/jobs/banyanwheel_jobs/durations/pace.py
+++ b/packages/jobs/banyanwheel_jobs/durations/pace.py
@@ -15,6 +15,7 @@
 MAX_JOBS = 16  # remembered of a worker; their median is within 13% (one deviation)
 MAX_RUNS = 32  # remembered of a job at a worker; about as many run there at a time
 HALF_LIFE_S = 5.0  # of what is known of a job
+MIN_WEIGHT = 1 / 64  # 16 jobs of less weight count for less than a quarter of one
 MIN_SLOWNESS = 0.2
 MAX_SLOWNESS = 20.0
 REPORTED_HALF_LIFE_S = 15.0  # a worker that was slow is tried again after some of these
@@ -47,7 +48,7 @@
         self.kind = kind
         self.at = 0.0  # when its newest run was first measured
         self.weight = 1.0
-        self._ratios = {}  # logarithms by (task, run)
+        self._ratios = {}  # logarithms by (task's index, run)
         self._median = None  # None if they have changed
 
     @property
@@ -113,8 +114,10 @@
         """Renews the estimates from the samples, at a report of the runner."""
         self._now = now
         self._estimates.clear()
-        for of_job in self._jobs.values():
+        for key, of_job in list(self._jobs.items()):
             of_job.weight = 0.5 ** ((now - of_job.at) / HALF_LIFE_S)
+            if of_job.weight < MIN_WEIGHT:
+                del self._jobs[key]
         if self._reported is None or self._reported[0] != reported:
             self._reported = reported, now
         jobs, median = self._relative(durations, self._jobs.values())
--- a/packages/jobs/banyanwheel_jobs/owners/explaining.py
+++ b/packages/jobs/banyanwheel_jobs/owners/explaining.py
@@ -73,6 +73,9 @@
         )
     if not any(step.resources.fits(view.worker.capacity) for view in allowed):
         return "no worker is large enough for a task"
-    if not any(view.room_for(step.resources) for view in allowed):
+    roomy = [view for view in allowed if view.room_for(step.resources)]
+    if not roomy:
         return "no worker has room"
+    if all(view.trial_full for view in roomy):
+        return "the workers with room are new or were slow, and are tried with few"
     return "waiting for a faster worker, or room is reserved for more urgent jobs"
--- a/packages/jobs/banyanwheel_jobs/owners/inspection.py
+++ b/packages/jobs/banyanwheel_jobs/owners/inspection.py
@@ -79,6 +79,7 @@
             "slowness": round(view.slowness, 2),
             "accepting": view.usable(now),
             "suspected": view.suspected(now),
+            "on_trial": view.pace.on_trial,
             "drained": owner.drains.cover(view),
             "age_ms": round((now - view.heard_at) * 1000),
         }
--- a/packages/jobs/banyanwheel_jobs/owners/progress_handling.py
+++ b/packages/jobs/banyanwheel_jobs/owners/progress_handling.py
@@ -19,7 +19,7 @@
         kind = Kind.from_task(job, task)
         ratio = ratio_of(total_ms, step.estimate_ms)
         ratio /= self._placement.rack_factor(step, view)
-        view.pace.record((task.id, task.run), job.id, kind, ratio, now)
+        view.pace.record((task.id.index, task.run), job.id, kind, ratio, now)
         if task.measured_run != task.run:
             task.measured_run = task.run
             self._durations.record(kind, ratio, now)
--- a/tests/jobs/owners/test_inspection.py
+++ b/tests/jobs/owners/test_inspection.py
@@ -88,6 +88,16 @@
     assert text.startswith("6 tasks wait: no worker has room; runs: ")
 
 
+def test_a_job_that_waits_for_the_end_of_a_trial_is_explained(world):
+    world.submit_stored("owner-0", JOB, tasks=10)
+    world.append("owner-0")
+    for view in world.owners["owner-0"].views.values():
+        view.listed = {("a", 1), ("b", 1)}
+    state, text = why(world)
+    assert state == "queued"
+    assert "are new or were slow, and are tried with few" in text
+
+
 def test_a_job_whose_workers_are_drained_waits_and_is_explained(world):
     owner = world.owners["owner-0"]
     owner.drains = Drains(frozenset({(DrainKind.DATA_CENTRE, "dc")}))
--- a/tests/jobs/placing/test_placement.py
+++ b/tests/jobs/placing/test_placement.py
@@ -44,3 +44,23 @@
 @pytest.mark.parametrize("free", [1_600, 15_000])
 def test_the_room_left_at_home_does_not_count(free):
     assert chosen(view("fast", free, home=True), view("b", 9_000, True, 1.1)) == "fast"
+
+
+def tried(name, on_trial=False, runs=0, slowness=1.0):
+    result = view(name, 8_000, home=True, slowness=slowness)
+    result.pace.on_trial = on_trial
+    result.listed = set(range(runs))
+    return result
+
+
+@pytest.mark.parametrize(("runs", "name"), [(0, "new"), (1, "new"), (2, "known")])
+def test_a_worker_on_trial_gets_few_tasks(runs, name):
+    """It may be slow or fail everything, and has most room."""
+    new = tried("new", on_trial=True, runs=runs, slowness=0.5)
+    assert chosen(new, tried("known")) == name
+
+
+def test_workers_on_trial_are_used_while_most_are():
+    """After a placer's start all of them are."""
+    views = [tried(f"new-{n}", on_trial=True, runs=2, slowness=0.5) for n in range(2)]
+    assert chosen(*views, tried("known")) == "new-0"
--- a/tests/jobs/placing/test_runner_view.py
+++ b/tests/jobs/placing/test_runner_view.py
@@ -1,16 +1,20 @@
 """The room that an owner sees at a runner."""
 
+import pytest
+
+from banyanwheel_jobs.durations.durations import Durations, Kind
 from banyanwheel_jobs.messages import Report, WorkerStatus
 from banyanwheel_jobs.model import Resources
 from banyanwheel_jobs.placing.runner_view import RunnerView
 
 TASK = Resources(2_000, 100)
+NOW = 100.0
 
 
-def report(free_cpu):
+def report(free_cpu, incarnation="w@1"):
     capacity = Resources(8_000, 1_000)
     free = Resources(free_cpu, 1_000)
-    worker = WorkerStatus("w@1", "desk", True, capacity, free, (), 1.0)
+    worker = WorkerStatus(incarnation, "desk", True, capacity, free, (), 1.0)
     return Report(1, True, worker, (), (), ())
 
 
@@ -45,3 +49,30 @@
     assert not view.reject_stale("present", 2_000)
     assert view.reject_stale("present", 1_000)
     assert not view.reject_stale("next", 1_000)
+
+
+@pytest.fixture
+def known():
+    known = view(True, 4_000)
+    for number in range(8):
+        known.pace.record((number, 1), f"job-{number}", Kind("check", 0), 3.0, NOW)
+    known.refresh_pace(Durations(), NOW)
+    return known
+
+
+def test_a_worker_whose_pace_is_known_is_not_on_trial(known):
+    assert not known.pace.on_trial
+    assert known.slowness > 2.0
+
+
+def test_a_new_incarnation_starts_from_the_prior(known):
+    known.apply_report(report(4_000, "w@2"))
+    assert known.pace.on_trial
+    assert known.slowness == 1.0
+
+
+def test_a_worker_back_from_a_fault_is_tried_first(known):
+    known.suspect(NOW)
+    known.refresh_pace(Durations(), NOW + 3.0)
+    assert not known.suspected(NOW + 3.0)
+    assert known.pace.on_trial
