A worker is slow from 1.3 times on; bounds of trials and of moved runs

A run was moved for a worker that was 1.19 times as slow beyond doubt, which sound workers differ by as well.

A trial ended only once two jobs were fresh at the same instant, which a worker with a job every few seconds never reached. It ends with two jobs of which one is two half-lives old.

--- a/packages/jobs/banyanwheel_jobs/durations/pace.py
+++ b/packages/jobs/banyanwheel_jobs/durations/pace.py
@@ -20,10 +20,10 @@
 MAX_SLOWNESS = 20.0
 REPORTED_HALF_LIFE_S = 15.0  # a worker that was slow is tried again after some of these
 PRIOR_JOBS = 4.0  # jobs that the slowness reported by the runner counts for
-TRIAL_JOBS = 2.0  # jobs whose runs show the pace of a worker that is tried
+TRIAL_JOBS = 1.25  # fresh jobs that show a pace: a new one, and one two half-lives old
 MIN_OTHER_JOBS = 3  # jobs by which a slow worker is told from a long task
 REFRESH_S = 0.2  # a heartbeat; it bounds the time spent on reports between
-SLOW_FACTOR = 1.3  # a slower worker than this is worth a closer look
+SLOW_FACTOR = 1.3  # a worker is slow from here on; sound ones differ by as much
 # The median of n jobs deviates by about 1.25 * PRIOR_SPREAD / sqrt(n). Three times that
 # is exceeded by chance by one of 740; each worker is looked at five times a second.
 DOUBTED_SPREAD = 3 * 1.25 * PRIOR_SPREAD
@@ -142,14 +142,15 @@
     def slow_factor(self, job, durations):
         """Returns how much slower than usual the worker is at least, by other jobs.
 
-        It is 1 if that can't be told from chance. Without the runs of ``job``, a long
-        task or a bad estimate doesn't count against the worker.
+        It is 1 if the worker isn't slow, or may look so by chance. Without the runs of
+        ``job``, a long task or a bad estimate doesn't count against the worker.
         """
         others = [each for each in self._jobs.values() if each.job != job]
         jobs, median = self._relative(durations, others)
         if jobs < MIN_OTHER_JOBS:
             return 1.0
-        return max(1.0, math.exp(median - DOUBTED_SPREAD / math.sqrt(jobs)))
+        factor = math.exp(median - DOUBTED_SPREAD / math.sqrt(jobs))
+        return factor if factor >= SLOW_FACTOR else 1.0
 
     def _estimate(self, reported, kind):
         prior = self._prior(reported)
--- a/tests/jobs/owners/test_no_task_waits.py
+++ b/tests/jobs/owners/test_no_task_waits.py
@@ -81,6 +81,13 @@
     [(1.0, 1, LONG_TASKS | {"count": 2, "estimate_ms": 400})],
     [("refusing", 0, 0.5, 7.0)],
 )
+# The large worker is on trial when the long tasks come, and they fill the others.
+BACK_FROM_A_FAULT = (
+    [WORKER | {"cpu": 64_000}, *[WORKER | {"cpu": 4_000}] * 2],
+    [(0.0, 10, LONG_TASKS | {"count": 2, "estimate_ms": 400})]
+    + [(5.5, 1, LONG_TASKS | {"count": 12}), (5.8, 1, LONG_TASKS | {"count": 1})],
+    [("failing", 0, 0.0, 1.0)],
+)
 
 
 class Standstills:
@@ -127,6 +134,7 @@
 @example(*ONE_SERVICE_FULL)
 @example(*ONE_LABEL_FULL)
 @example(*THE_FASTEST_REFUSES)
+@example(*BACK_FROM_A_FAULT)
 @settings(derandomize=True, max_examples=EXAMPLES, deadline=None)
 @given(
     st.lists(WORKERS, min_size=1, max_size=20),
--- a/tests/jobs/owners/test_stragglers.py
+++ b/tests/jobs/owners/test_stragglers.py
@@ -1,6 +1,8 @@
 import pytest
 
-from banyanwheel_jobs.owners.stragglers import is_straggling
+from banyanwheel_jobs.model import Resources
+from banyanwheel_jobs.owners.stragglers import RESTART_S, PromisedRoom, is_straggling
+from banyanwheel_jobs.placing.runner_view import RunnerView
 
 from ..world import World
 
@@ -56,6 +58,18 @@
     assert not is_straggling(0, 9.0, 0.1, restarts=3)
 
 
+def test_no_two_runs_are_moved_for_the_same_room():
+    """A slow worker has several runs, and all see the same room elsewhere."""
+    view = RunnerView("runner-0", "dc", free=Resources(3_000))
+    promised, task = PromisedRoom(), Resources(2_000)
+    assert promised.has_room(view, task, 100.0)
+    promised.add(view, task, 100.0)
+    assert not promised.has_room(view, task, 100.0 + RESTART_S / 2)
+    assert promised.has_room(view, Resources(1_000), 100.0 + RESTART_S / 2)
+    assert promised.has_room(RunnerView("b", "dc", free=task), task, 100.0)
+    assert promised.has_room(view, task, 100.0 + RESTART_S)
+
+
 def test_a_run_that_stalls_midway_is_straggling_even_after_a_restart():
     """A run on a worker that hangs shows a few percent; others may hang as well."""
     assert is_straggling(3, 2.0, 0.3, stalled_s=1.5, restarts=1)
