--- a/packages/jobs/banyanwheel_jobs/durations/pace.py
+++ b/packages/jobs/banyanwheel_jobs/durations/pace.py
@@ -6,6 +6,7 @@
 
 import math
 from dataclasses import dataclass
+from statistics import median_low
 
 from .histogram import PRIOR_SPREAD
 
@@ -14,14 +15,15 @@
 MAX_JOBS = 16  # remembered of a worker; their median is within 13% (one deviation)
 MAX_RUNS = 32  # remembered of a job at a worker; about as many run there at a time
 HALF_LIFE_S = 5.0  # of what is known of a job
+MIN_WEIGHT = 1 / 64  # 16 jobs of less weight count for less than a quarter of one
 MIN_SLOWNESS = 0.2
 MAX_SLOWNESS = 20.0
 REPORTED_HALF_LIFE_S = 15.0  # a worker that was slow is tried again after some of these
 PRIOR_JOBS = 4.0  # jobs that the slowness reported by the runner counts for
-TRIAL_JOBS = 2.0  # jobs whose runs show the pace of a worker that is tried
+TRIAL_JOBS = 1.25  # fresh jobs that show a pace: a new one, and one two half-lives old
 MIN_OTHER_JOBS = 3  # jobs by which a slow worker is told from a long task
 REFRESH_S = 0.2  # a heartbeat; it bounds the time spent on reports between
-SLOW_FACTOR = 1.3  # a slower worker than this is worth a closer look
+SLOW_FACTOR = 1.3  # a worker is slow from here on; sound ones differ by as much
 # The median of n jobs deviates by about 1.25 * PRIOR_SPREAD / sqrt(n). Three times that
 # is exceeded by chance by one of 740; each worker is looked at five times a second.
 DOUBTED_SPREAD = 3 * 1.25 * PRIOR_SPREAD
@@ -39,30 +41,34 @@
 class _JobPace:
     """The runs of a job and kind; ``weight`` is 1 for fresh ones."""
 
-    __slots__ = ("_ratios", "_total", "at", "job", "kind", "weight")
+    __slots__ = ("_median", "_ratios", "at", "job", "kind", "weight")
 
     def __init__(self, job, kind):
         self.job = job
         self.kind = kind
         self.at = 0.0  # when its newest run was first measured
         self.weight = 1.0
-        self._ratios = {}  # logarithms by (task, run)
-        self._total = 0.0
+        self._ratios = {}  # logarithms by (task's index, run)
+        self._median = None  # None if they have changed
 
     @property
     def log_ratio(self):
-        """The mean of the logarithms of run time over estimate."""
-        return self._total / len(self._ratios)
+        """The median of the logarithms of run time over estimate.
+
+        Of two runs it is the lower one, since the other may be long by itself.
+        """
+        if self._median is None:
+            self._median = median_low(self._ratios.values())
+        return self._median
 
     def record(self, key, log_ratio, now):
         """Records a run; it keeps the time of its first record."""
-        known = self._ratios.get(key)
-        if known is None:
+        if key not in self._ratios:
             if len(self._ratios) >= MAX_RUNS:
                 return
             self.at = now
         self._ratios[key] = log_ratio
-        self._total += log_ratio - (known or 0.0)
+        self._median = None
 
 
 class Pace:
@@ -108,8 +114,10 @@
         """Renews the estimates from the samples, at a report of the runner."""
         self._now = now
         self._estimates.clear()
-        for of_job in self._jobs.values():
+        for key, of_job in list(self._jobs.items()):
             of_job.weight = 0.5 ** ((now - of_job.at) / HALF_LIFE_S)
+            if of_job.weight < MIN_WEIGHT:
+                del self._jobs[key]
         if self._reported is None or self._reported[0] != reported:
             self._reported = reported, now
         jobs, median = self._relative(durations, self._jobs.values())
@@ -134,14 +142,15 @@
     def slow_factor(self, job, durations):
         """Returns how much slower than usual the worker is at least, by other jobs.
 
-        It is 1 if that can't be told from chance. Without the runs of ``job``, a long
-        task or a bad estimate doesn't count against the worker.
+        It is 1 if the worker isn't slow, or may look so by chance. Without the runs of
+        ``job``, a long task or a bad estimate doesn't count against the worker.
         """
         others = [each for each in self._jobs.values() if each.job != job]
         jobs, median = self._relative(durations, others)
         if jobs < MIN_OTHER_JOBS:
             return 1.0
-        return max(1.0, math.exp(median - DOUBTED_SPREAD / math.sqrt(jobs)))
+        factor = math.exp(median - DOUBTED_SPREAD / math.sqrt(jobs))
+        return factor if factor >= SLOW_FACTOR else 1.0
 
     def _estimate(self, reported, kind):
         prior = self._prior(reported)
