A refused job is tried elsewhere only where its cell has room for it

has_room asked for 3% of free CPU, which full workers have in scraps beside their tasks; each job that one placer refused could go to two more full cells. It now asks as the first choice does.

Run: pytest tests/jobs/cells/test_balance.py tests/jobs/cells/test_placers.py tests/daemon/test_transient_requests.py, passed.

--- a/packages/jobs/banyanwheel_jobs/cells/placers.py
+++ b/packages/jobs/banyanwheel_jobs/cells/placers.py
@@ -229,7 +229,7 @@
     def has_room(self, submission, now, excluded):
         """Returns whether a placer that is not excluded has room for a job."""
         candidates = self._candidates(now, excluded)
-        return bool(_with_room(candidates, submission, CROWDED_SHARE))
+        return any(_keeps(placer.offers, submission) for placer in candidates)
 
     def has_roomy_offer(self, submission, now):
         """Returns whether a placer has much room for a job, on any rack."""
--- a/tests/jobs/cells/test_balance.py
+++ b/tests/jobs/cells/test_balance.py
@@ -158,6 +158,13 @@
     assert (logged[0]["wait_ms"], logged[0]["wait_there_ms"]) == (998, 0)
 
 
+@pytest.mark.parametrize("wait_s", [0, 0.5])
+def test_a_refused_job_is_not_tried_where_work_waits_beside_scraps(wait_s):
+    """Free shares of 4% sent each refused job to two more full cells."""
+    site = Site(offer(1.0), offer(wait_s, free=0.04))
+    assert site.placers.has_room(job(0), NOW, {""}) == (not wait_s)
+
+
 def test_a_silent_cell_gets_no_jobs():
     site = Site(offer(1.0), *[offer(0)] * 2, heard_at=NOW - 1)
     assert site.share(None) < 1
