Jobs that their own cell can't run are spread by the waits elsewhere

While a data centre has no usable workers, its jobs went to all placers with much room alike, then to all alike; some cells filled up beside room in others. They are now shared out so that the waits become the same.

--- a/packages/jobs/banyanwheel_jobs/cells/balance.py
+++ b/packages/jobs/banyanwheel_jobs/cells/balance.py
@@ -11,7 +11,7 @@
 
 from ..messages import UNKNOWN_BACKLOG
 
-__all__ = ["CellLoad", "DemandMeter", "choose_cell", "work_cpu_ms"]
+__all__ = ["CellLoad", "DemandMeter", "choose_cell", "spread_job", "work_cpu_ms"]
 
 # The time in which waits are evened out. It is twice the age that claims may have: what
 # was moved shows in claims before as much is moved again.
@@ -153,6 +153,24 @@
     return _pick([pair for pair in room if pair[1] > 0], position / moved_share)
 
 
+def spread_job(submission, cells, demand_cpu, extra_s):
+    """Returns the CellLoad for a job that its own cell can't run, None without cells.
+
+    ``demand_cpu`` is the demand of such jobs. Each cell gets what raises it to the
+    wait that all have once that demand has been added for ``BALANCING_S``.
+    """
+    if not cells:
+        return None
+    run_ms = submission.critical_path_ms
+    waits = [(cell, cell.expected_wait_s(run_ms) + extra_s(cell)) for cell in cells]
+    capacity = sum(cell.capacity_cpu for cell in cells)
+    work = sum(wait_s * cell.capacity_cpu for cell, wait_s in waits)
+    level_s = (work + BALANCING_S * max(1.0, demand_cpu)) / capacity
+    shares = [(cell, (level_s - wait_s) * cell.capacity_cpu) for cell, wait_s in waits]
+    below = [pair for pair in shares if pair[1] > 0]
+    return _pick(below, _position(submission.job_id))
+
+
 def _margin_s(submission):
     """Returns by how much sooner a job has to end elsewhere.
 
--- a/packages/jobs/banyanwheel_jobs/cells/placers.py
+++ b/packages/jobs/banyanwheel_jobs/cells/placers.py
@@ -11,7 +11,7 @@
 
 from ..authority import StampTracker
 from ..messages import UNKNOWN_BACKLOG, ServiceOffer
-from .balance import CellLoad, DemandMeter, choose_cell, work_cpu_ms
+from .balance import CellLoad, DemandMeter, choose_cell, spread_job, work_cpu_ms
 from .election import CLAIMS_TIMEOUT_S
 
 __all__ = ["Placer", "Placers", "offers_of", "suits"]
@@ -146,15 +146,16 @@
         far = [placer for placer in candidates if placer.address not in self._near]
         own, others = self._loads(submission, candidates, own_offers, now)
         roomy = _with_room(far, submission, ROOMY_SHARE)
-        if own is not None and own.known and not _racks(submission):
+        known = bool(others) if own is None else own.known
+        if known and not _racks(submission):
             # Much room there now is no reason for all cells to send all their jobs.
             roomy = [
                 placer for placer in roomy if not _knows_backlog(placer, submission)
             ]
         if roomy:
             return _by_job(roomy, submission.job_id)
-        if own is not None and own.known:
-            cell = self._balance(submission, own, others)
+        if known:
+            cell = self._balance(submission, own, others, now)
             if cell is not own:
                 return _by_job(cell.placers, submission.job_id)
         if own_offers is not None and suits(own_offers, submission):
@@ -192,9 +193,12 @@
     def _is_near(self, load):
         return any(placer.address in self._near for placer in load.placers)
 
-    def _balance(self, submission, own, others):
+    def _balance(self, submission, own, others, now):
         """Returns the CellLoad to which the waits send a job, which may be its own."""
         extra_s = self._extra_s(submission)
+        if own is None:
+            demand_cpu, _ = self.demand.rate(submission.queue.service, now)
+            return spread_job(submission, others, demand_cpu, extra_s)
         if _has_room(own.offer, submission):
             # Only the job's data is elsewhere.
             others = [load for load in others if not extra_s(load)]
--- a/tests/jobs/cells/test_balance.py
+++ b/tests/jobs/cells/test_balance.py
@@ -183,6 +183,17 @@
     assert set(routes) == {"dc-1/0"}
 
 
+def test_the_jobs_of_an_evacuated_cell_are_spread_by_the_waits_elsewhere():
+    site = Site(offer(), offer(0), offer(0.5), offer(4.0))
+    # Ten jobs of a core-second each: half of a cell's capacity.
+    for tick in range(500):
+        site.placers.demand.record(job(0, run_ms=10_000), NOW - 5 + tick / 50 * 0.5)
+    routes = [site.placers.choose(job(n), NOW, ()).address for n in range(JOBS)]
+    counts = [routes.count(cells[0]) for cells in ELSEWHERE]
+    assert counts[0] > counts[1] > 0
+    assert counts[2] == 0
+
+
 @pytest.mark.parametrize("known", [True, False])
 def test_cells_of_unknown_backlog_get_jobs_only_by_their_free_room(known):
     full, roomy = former(offer()), former(offer(free=0.5))
--- a/tests/jobs/cells/test_cells_under_load.py
+++ b/tests/jobs/cells/test_cells_under_load.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from ..owners.overload_world import Kind
+from ..owners.overload_world import START_S, Kind
 from .cells_world import CELLS, CellsWorld
 
 CORES = 32  # of a worker; tasks of 2.8 cores leave a part of each that fits none
@@ -35,17 +35,21 @@
     return world
 
 
-def served_shares(world):
+def served_shares(world, since=0.0):
     """Returns the share of each cell's callers that were served."""
     shares = []
     for cell in range(CELLS):
-        calls = [call for call in world.calls if call.placer % CELLS == cell]
+        calls = [
+            call
+            for call in world.calls
+            if call.placer % CELLS == cell and call.at >= START_S + since
+        ]
         shares.append(sum(call.done for call in calls) / len(calls))
     return shares
 
 
-def spread(world):
-    shares = served_shares(world)
+def spread(world, since=0.0):
+    shares = served_shares(world, since)
     return max(shares) - min(shares)
 
 
@@ -71,6 +75,13 @@
     assert targets and 3 not in targets
 
 
+def test_the_callers_of_a_cell_without_workers_share_the_room_of_the_others():
+    """Its jobs filled some of the other cells and left room in the rest."""
+    losses = {number: 3.0 for number in range(3, len(SPEEDS), CELLS)}
+    before, after = (play(1.0, balanced=each, losses=losses) for each in (False, True))
+    assert spread(after, since=5.0) < spread(before, since=5.0) / 2
+
+
 def test_a_deployment_with_room_is_served_as_before():
     before, after = play(0.4, balanced=False), play(0.4)
     assert after.forwarded == before.forwarded
