Entries without workers balance from the near cell that their jobs would get

They took the near cell with the least wait as theirs, all of them the same one until its next claims.

Run: pytest tests/jobs/cells/test_balance.py tests/jobs/cells/test_placers.py tests/daemon/test_transient_requests.py, passed.

--- a/packages/jobs/banyanwheel_jobs/cells/placers.py
+++ b/packages/jobs/banyanwheel_jobs/cells/placers.py
@@ -165,7 +165,7 @@
     def _loads(self, submission, candidates, own_offers, now):
         """Returns the CellLoad of the own cell, None for none, and those of others.
 
-        That of a dispatcher that places no tasks is the near one with the least wait.
+        For a dispatcher that places no tasks, the own cell is a near one.
         """
         service = submission.queue.service
         loads = {}
@@ -183,15 +183,20 @@
             else:
                 loads[placer.cells] = CellLoad.from_offer(*load)
         if own_offers is None:
-            run_ms = submission.critical_path_ms
-            near = [load for load in loads.values() if self._is_near(load)]
-            own = min(near, key=lambda load: load.wait_s(run_ms), default=None)
+            own = self._near_load(submission, loads)
         elif own_offer is None:
             own = None
         return own, [load for load in loads.values() if load is not own and load.known]
 
-    def _is_near(self, load):
-        return any(placer.address in self._near for placer in load.placers)
+    def _near_load(self, submission, loads):
+        """Returns the CellLoad of the near placer that gets a job at the latest."""
+        near = [
+            placer
+            for load in loads.values()
+            for placer in load.placers
+            if placer.address in self._near
+        ]
+        return loads[_by_job(near, submission.job_id).cells] if near else None
 
     def _balance(self, submission, own, others, now):
         """Returns the CellLoad to which the waits send a job, which may be its own."""
