--- a/packages/jobs/banyanwheel_jobs/cells/placers.py
+++ b/packages/jobs/banyanwheel_jobs/cells/placers.py
@@ -11,7 +11,7 @@
 
 from ..authority import StampTracker
 from ..messages import UNKNOWN_BACKLOG, ServiceOffer
-from .balance import CellLoad, DemandMeter, choose_cell, work_cpu_ms
+from .balance import CellLoad, DemandMeter, choose_cell, spread_job, work_cpu_ms
 from .election import CLAIMS_TIMEOUT_S
 
 __all__ = ["Placer", "Placers", "offers_of", "suits"]
@@ -54,7 +54,7 @@
         self._placers = {}
         self._near = frozenset()
         self._own_cells = ()
-        self._event_log = event_log or (lambda event, **fields: None)
+        self._event_log = event_log
         self.demand = DemandMeter()
 
     @property
@@ -146,15 +146,16 @@
         far = [placer for placer in candidates if placer.address not in self._near]
         own, others = self._loads(submission, candidates, own_offers, now)
         roomy = _with_room(far, submission, ROOMY_SHARE)
-        if own is not None and own.known and not _racks(submission):
+        known = bool(others) if own is None else own.known
+        if known and not _racks(submission):
             # Much room there now is no reason for all cells to send all their jobs.
             roomy = [
                 placer for placer in roomy if not _knows_backlog(placer, submission)
             ]
         if roomy:
             return _by_job(roomy, submission.job_id)
-        if own is not None and own.known:
-            cell = self._balance(submission, own, others)
+        if known:
+            cell = self._balance(submission, own, others, now)
             if cell is not own:
                 return _by_job(cell.placers, submission.job_id)
         if own_offers is not None and suits(own_offers, submission):
@@ -164,7 +165,7 @@
     def _loads(self, submission, candidates, own_offers, now):
         """Returns the CellLoad of the own cell, None for none, and those of others.
 
-        That of a dispatcher that places no tasks is the near one with the least wait.
+        For a dispatcher that places no tasks, the own cell is a near one.
         """
         service = submission.queue.service
         loads = {}
@@ -182,25 +183,38 @@
             else:
                 loads[placer.cells] = CellLoad.from_offer(*load)
         if own_offers is None:
-            run_ms = submission.critical_path_ms
-            near = [load for load in loads.values() if self._is_near(load)]
-            own = min(near, key=lambda load: load.wait_s(run_ms), default=None)
+            own = self._near_load(submission, loads)
         elif own_offer is None:
             own = None
         return own, [load for load in loads.values() if load is not own and load.known]
 
-    def _is_near(self, load):
-        return any(placer.address in self._near for placer in load.placers)
+    def _near_load(self, submission, loads):
+        """Returns the CellLoad of the near placer that gets a job at the latest."""
+        near = [
+            placer
+            for load in loads.values()
+            for placer in load.placers
+            if placer.address in self._near
+        ]
+        return loads[_by_job(near, submission.job_id).cells] if near else None
 
-    def _balance(self, submission, own, others):
+    def _balance(self, submission, own, others, now):
         """Returns the CellLoad to which the waits send a job, which may be its own."""
         extra_s = self._extra_s(submission)
+        if own is None:
+            demand_cpu, _ = self.demand.rate(submission.queue.service, now)
+            return spread_job(submission, others, demand_cpu, extra_s)
         if _has_room(own.offer, submission):
             # Only the job's data is elsewhere.
             others = [load for load in others if not extra_s(load)]
         cell = choose_cell(submission, own, others, extra_s)
         if cell is None:
             return own
+        if self._event_log is not None:
+            self._log_move(submission, own, cell)
+        return cell
+
+    def _log_move(self, submission, own, cell):
         run_ms = submission.critical_path_ms
         self._event_log(
             "request:balanced",
@@ -209,7 +223,7 @@
             wait_ms=round(1000 * own.expected_wait_s(run_ms)),
             wait_there_ms=round(1000 * cell.expected_wait_s(run_ms)),
         )
-        return cell
+        self._event_log.count("banyanwheel.forwards", "less-wait")
 
     def _extra_s(self, submission):
         """Returns a function: how much longer a job runs in a cell without its data."""
@@ -224,7 +238,7 @@
     def has_room(self, submission, now, excluded):
         """Returns whether a placer that is not excluded has room for a job."""
         candidates = self._candidates(now, excluded)
-        return bool(_with_room(candidates, submission, CROWDED_SHARE))
+        return any(_keeps(placer.offers, submission) for placer in candidates)
 
     def has_suitable(self, submission, now, excluded):
         """Returns whether a placer that is not excluded has workers for a job."""
@@ -331,12 +345,13 @@
     """Returns whether a cell has room, wherever the data of a job is.
 
     Beside tasks of 2.8 cores, full workers of 32 have 4% left, too little for another
-    one: work may wait beside more than ``CROWDED_SHARE``.
+    one, and the reserve for urgent jobs is 5%. So what waits decides, unless there is
+    much room.
     """
+    free_share = offer.free_cpu / max(1, offer.capacity_cpu)
     wait_ms = offer.waiting_cpu_ms / max(1, offer.capacity_cpu)
-    return (
-        offer.free_cpu > CROWDED_SHARE * offer.capacity_cpu
-        and wait_ms <= submission.queue.target_ms
+    return free_share > ROOMY_SHARE or (
+        free_share > CROWDED_SHARE and wait_ms <= submission.queue.target_ms
     )
 
 
