Settings for memory and descriptors, and crowds of untrusted clients

Cause: clients that send large, chunked or unfinished bodies made a process exceed its machine's memory. Nothing tells a process how much it may use.

Change: [process] memory_mb and max_descriptors are accepted and rendered by the templates; nothing uses them yet. The stand-ins of review/ get the two limits that the templates now name.

--- a/packages/daemon/banyanwheel_daemon/settings.py
+++ b/packages/daemon/banyanwheel_daemon/settings.py
@@ -38,7 +38,9 @@
     Metrics and health are served at ``operators``, and by a dispatcher also commands
     and jobs. A shutdown takes at most ``grace_s`` seconds. The process has
     ``processor_share`` of a processor that is ``processor_speed`` times as fast as the
-    reference; dispatchers with more power place tasks first.
+    reference; dispatchers with more power place tasks first. ``memory_mb`` and
+    ``max_descriptors`` are what the machine gives the process; without them its
+    resource limits count.
     """
 
     name: NonEmptyText
@@ -49,6 +51,8 @@
     grace_s: PositiveFloat = 6.0
     processor_share: PositiveFloat = 1.0
     processor_speed: PositiveFloat = 1.0
+    memory_mb: PositiveInt | None = None
+    max_descriptors: PositiveInt | None = None
 
     @property
     def processing_power(self):
--- a/review/standins/system.py
+++ b/review/standins/system.py
@@ -33,6 +33,7 @@
 KEPT_VARIABLES = ("PATH", "HOME", "LANG")
 _PLACEHOLDER = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
 
+LIMITS = {"cpuShare": 0.6, "cores": 1, "memoryMb": 160, "maxFds": 1_024}
 BOUNDS = {
     "contactMs": 3000,
     "drainMs": 2000,
@@ -206,7 +207,7 @@
             "ip": machine.ip,
             "portRange": [machine.ports["peers"], machine.ports["peers"]],
             "listen": listen,
-            "limits": {"cpuShare": 0.6, "cores": 1},
+            "limits": LIMITS,
             "bounds": BOUNDS,
             "platform": {"address": "{}:{}".format(*self._log_address), "parts": PARTS},
         }
--- /dev/null
+++ b/tests/daemon/untrusted_clients.py
@@ -0,0 +1,189 @@
+"""Crowds of clients that no server can trust, and an ordinary client beside them."""
+
+import contextlib
+import json
+import os
+import socket
+import time
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+
+from tests.standins.calls import call
+
+__all__ = [
+    "ATTACKS",
+    "MAX_BODY_BYTES",
+    "SERVERS",
+    "Crowd",
+    "Server",
+    "call_until",
+    "exchange",
+    "usage",
+]
+
+MAX_BODY_BYTES = 262_144  # of the configuration
+SEND_TIMEOUT_S = 60  # only ends a hang
+ANSWER_ATTEMPTS = 200
+ANSWER_PAUSE_S = 0.1
+KIB = 1_024
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """One HTTP server of a daemon; requests of a crowd, and an ordinary one."""
+
+    daemon: str
+    name: str  # among the addresses of the daemon
+    method: str
+    path: str  # of a body, with the number of a client
+    host: str = "desk.example"
+    ordinary: tuple = ("GET", "/health")
+
+    def head(self, number, *lines):
+        """Returns the header of a client's request."""
+        path = self.path.format(number=number)
+        start = f"{self.method} {path} HTTP/1.1\r\nHost: {self.host}\r\n"
+        return (start + "".join(f"{line}\r\n" for line in lines) + "\r\n").encode()
+
+
+SERVERS = {
+    "callers": Server(
+        "dispatcher-1",
+        "callers",
+        "POST",
+        "/counter/{number:016x}",
+        ordinary=("GET", "/counter/"),
+    ),
+    "probes": Server(
+        "dispatcher-1", "ready", "POST", "/ready", ordinary=("GET", "/ready")
+    ),
+    "operators": Server(
+        "dispatcher-1", "operators", "PUT", "/v1/jobs/{number:016x}?wait_ms=60000"
+    ),
+    "runner-operators": Server("runner-1", "operators", "POST", "/v1/commands"),
+    "heartbeats": Server(
+        "runner-1",
+        "heartbeats",
+        "PUT",
+        "/instances/i-{number}",
+        ordinary=("DELETE", "/instances/i-none"),
+    ),
+}
+
+
+def _announced(server, number, *, bytes_sent, announced, piece):
+    yield server.head(number, f"Content-Length: {announced}")
+    for start in range(0, bytes_sent, piece):
+        yield b" " * min(piece, bytes_sent - start)
+
+
+def _chunked(server, number, *, chunks, size):
+    yield server.head(number, "Transfer-Encoding: chunked")
+    chunk = f"{size:x}\r\n".encode() + b" " * size + b"\r\n"
+    per_piece = max(1, 4 * KIB // len(chunk))
+    for start in range(0, chunks, per_piece):
+        yield chunk * min(per_piece, chunks - start)
+
+
+def _whole(server, number, *, stored=False):
+    """Yields a job of 10,000 tasks in a body of the largest legal size."""
+    job = {"steps": [{"count": 10_000, "cpu": 1_000}]}
+    if server.name == "operators":
+        job |= {"queue": "counter", "transient": not stored}
+    else:
+        job |= {"bestEffort": not stored}
+    lines = f"Content-Length: {MAX_BODY_BYTES}", "Request-Deadline-Ms: 60000"
+    yield server.head(number, *lines)
+    yield json.dumps(job).encode().ljust(MAX_BODY_BYTES)
+
+
+@dataclass(frozen=True, slots=True)
+class _Attack:
+    clients: int
+    pieces: object
+
+
+_SHORT = {"bytes_sent": MAX_BODY_BYTES - 1, "announced": MAX_BODY_BYTES}
+_FAR_OVER = 8 * KIB * KIB
+ATTACKS = {
+    "short-of-the-end": _Attack(200, partial(_announced, **_SHORT, piece=2**20)),
+    "piecemeal": _Attack(200, partial(_announced, **_SHORT, piece=KIB)),
+    "large-chunks": _Attack(200, partial(_chunked, chunks=15, size=16 * KIB)),
+    "tiny-chunks": _Attack(200, partial(_chunked, chunks=8 * KIB, size=1)),
+    "announced": _Attack(
+        40,
+        partial(_announced, bytes_sent=_FAR_OVER, announced=_FAR_OVER + 1, piece=2**18),
+    ),
+    "simply-sent": _Attack(40, partial(_chunked, chunks=128, size=64 * KIB)),
+    "whole": _Attack(60, _whole),
+    "whole-stored": _Attack(60, partial(_whole, stored=True)),
+}
+
+
+class Crowd:
+    """Clients that send their requests and stay; those that are closed are left."""
+
+    def __init__(self, server, address):
+        self._server = server
+        host, _, port = address.rpartition(":")
+        self._address = host, int(port)
+        self._sockets = []
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *error):
+        for client in self._sockets:
+            client.close()
+
+    def send(self, attack):
+        """Sends the requests of an attack, each on a connection of its own."""
+        for number in range(attack.clients):
+            client = socket.socket()
+            self._sockets.append(client)
+            client.settimeout(SEND_TIMEOUT_S)
+            with contextlib.suppress(ConnectionError):
+                client.connect(self._address)
+                client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                for piece in attack.pieces(self._server, number):
+                    client.sendall(piece)
+
+
+def call_until(server, address, statuses):
+    """Calls as an ordinary client, which tries again; returns the status.
+
+    Returns the last one, or None, where many attempts bring none of ``statuses``.
+    """
+    method, path = server.ordinary
+    status = None
+    for _ in range(ANSWER_ATTEMPTS):
+        with contextlib.suppress(OSError):
+            status = call(method, address, path, Host=server.host)[0]
+            if status in statuses:
+                break
+        time.sleep(ANSWER_PAUSE_S)
+    return status
+
+
+def exchange(address, pieces, last=b""):
+    """Sends pieces on one connection; returns what comes until ``last`` or its end."""
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port)), SEND_TIMEOUT_S) as client:
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for piece in pieces:
+            client.sendall(piece)
+        received = b""
+        while not last or last not in received:
+            data = client.recv(4 * KIB)
+            if not data:
+                break
+            received += data
+        return received
+
+
+def usage(pid):
+    """Returns the peak of a process's resident memory in MB, and its descriptors."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    (peak,) = (line.split()[1] for line in lines if line.startswith("VmHWM:"))
+    return int(peak) / KIB, len(os.listdir(f"/proc/{pid}/fd"))
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -120,6 +120,10 @@
         """Where a dispatcher tells the balancer whether it is ready."""
         return self._addresses[name]["ready"]
 
+    def address(self, name, server):
+        """Where a server of a daemon listens, by its name among the addresses."""
+        return self._addresses[name][server]
+
     def running(self, name):
         """Whether a process has not ended."""
         return self._processes[name].running
@@ -345,6 +349,7 @@
     def _configure(self, name, write):
         data_centre = self.layout.data_centre(name)
         text = write(name, data_centre, self._addresses[name], self.log)
+        text = text.replace("[process]\n", f"[process]\n{self.layout.process}")
         (self._directory / f"{name}.toml").write_text(text)
 
     def _launch_daemon(self, name):
--- a/tests/standins/layout.py
+++ b/tests/standins/layout.py
@@ -33,7 +33,7 @@
     """How many of what, spread over the data centres in turn.
 
     ``proxied`` tells whether a proxy stands before each runner. Workers have these
-    cores and labels in turn.
+    cores and labels in turn. ``process`` has more lines of the daemons' [process].
     """
 
     dispatchers: int = 2
@@ -43,6 +43,7 @@
     task_ms: int = 100
     worker_cpu: tuple = (4_000,)
     worker_labels: tuple = ("a",)
+    process: str = ""
 
     @classmethod
     def uneven(cls, dispatchers, runners):
