One HTTP server with a budget for untrusted clients

Cause: four servers kept whatever clients sent, up to 4 MB (callers, operators) or 100 MB (heartbeats, probes) a request and without timeouts, on any number of connections.

Change: platform/http_server.py serves all four addresses on tornado's HTTP1ServerConnection; request_budget.py decides, without I/O, what is refused or closed. All servers of a process share one budget from [process] memory_mb and max_descriptors: bytes are counted as they are read, connections and chunks with a fixed cost. Over it, unfinished requests are closed, largest and oldest first; a request that is whole is never closed while it is served. The number of connections is at most half of the descriptors, and a new one replaces the oldest unfinished one; callers leave an eighth to probes, heartbeats and operators. The configuration's largest body counts at the header and while the body arrives: 413, then the rest is dropped for 2 s at most so that the client can read it. Timeouts: header 10 s, body 30 s, idle 75 s, an answer that is not taken 30 s. The operators' limit goes down from 4 MB to the configuration's, as for callers. Form bodies are not parsed any more; no handler reads them.

test_service named a module of tornado that is not loaded any more; it now names the server's module instead, for the same check.

--- a/packages/daemon/banyanwheel_daemon/dispatcher.py
+++ b/packages/daemon/banyanwheel_daemon/dispatcher.py
@@ -98,7 +98,7 @@
             self._configure,
             self.event_log,
         )
-        self._callers = CallerServer(self._gateway, self.event_log)
+        self._callers = CallerServer(self._gateway, self.event_log, self.request_budget)
         self._peers = None
         self._operations = None
         self._registration = None
--- a/packages/daemon/banyanwheel_daemon/operator_server.py
+++ b/packages/daemon/banyanwheel_daemon/operator_server.py
@@ -5,22 +5,21 @@
 from functools import partial
 
 import msgspec
-from tornado.httpserver import HTTPServer
 
 from banyanwheel_core.documents import JobDocument
 from banyanwheel_core.errors import FindingsError
 from banyanwheel_core.ids import is_job_id
-from banyanwheel_core.problems import Problem, Reason
+from banyanwheel_core.problems import CONTENT_TYPE, Problem, Reason
 from banyanwheel_jobs.model import JobState
 from banyanwheel_jobs.outcomes import Outcome
 from banyanwheel_platform.http import is_connected
+from banyanwheel_platform.http_server import MAX_BODY_BYTES, HttpServer
 
 from .http import answer, answer_json, answer_problem
 
 __all__ = ["OperatorServer"]
 
 NDJSON_TYPE = "application/x-ndjson"
-MAX_BODY_BYTES = 4 * 1024 * 1024
 DEFAULT_WAIT_MS = 10_000
 MAX_WAIT_MS = 600_000
 _JOB_PATH = re.compile(r"/v1/jobs/([^/]+)")
@@ -30,22 +29,30 @@
     """Serves metrics and health, and with a ``gateway`` also commands and jobs.
 
     ``gateway`` is a RequestGateway. ``operations()`` returns the Operations; it is
-    called for each command and not before the first.
+    called for each command and not before the first. ``budget`` is the RequestBudget
+    of the process.
     """
 
-    def __init__(self, metrics, event_log, gateway=None, operations=None):
+    def __init__(self, metrics, event_log, gateway=None, operations=None, budget=None):
         self._metrics = metrics
         self._event_log = event_log
         self._gateway = gateway
         self._operations = operations
-        self._server = HTTPServer(
-            self._handle, max_body_size=MAX_BODY_BYTES, max_buffer_size=MAX_BODY_BYTES
+        self._server = HttpServer(
+            self._handle,
+            budget,
+            max_body_bytes=self._max_body_bytes,
+            describe=_describe,
         )
         self._tasks = set()
 
     def listen(self, address):
         """Binds the server to an Address; raises OSError where that fails."""
-        self._server.listen(address.port, address.host)
+        self._server.listen(address.host, address.port)
+
+    def _max_body_bytes(self):
+        routing = self._gateway.routing if self._gateway is not None else None
+        return routing.max_body_bytes if routing is not None else MAX_BODY_BYTES
 
     def _handle(self, request):
         match (request.method, request.path):
@@ -98,6 +105,7 @@
 
         try:
             command = parse(request.body.decode())
+            request.release_body()
             reply = await self._operations().execute(command)
         except UnicodeDecodeError as error:
             detail = f"not UTF-8 at byte {error.start}"
@@ -121,6 +129,7 @@
         if not _check_id(request, job_id):
             return
         job = JobDocument.from_json(request.body)
+        request.release_body()
         reply = await self._gateway.submit_document(
             job_id,
             job,
@@ -181,6 +190,11 @@
     return False
 
 
+def _describe(message):
+    problem = Problem.of(Reason.TOO_LARGE, message)
+    return CONTENT_TYPE, msgspec.json.encode(problem)
+
+
 def _no_such_path(request):
     return Problem.of(Reason.NO_SUCH_PATH, f"{request.method} {request.path[:80]}")
 
--- a/packages/daemon/banyanwheel_daemon/role.py
+++ b/packages/daemon/banyanwheel_daemon/role.py
@@ -5,9 +5,9 @@
 import io
 import signal
 
-from tornado.httpserver import HTTPServer
-
 from banyanwheel_core.charts import Chart
+from banyanwheel_platform.http_server import HttpServer
+from banyanwheel_platform.request_budget import MachineLimits, RequestBudget
 
 from .clocks import boot_time
 from .event_log import EventLog
@@ -23,6 +23,7 @@
 RUNNER = "runner"
 # Allocations between collections; full ones take tens of ms with many jobs.
 GC_THRESHOLD = 50_000
+CLIENT_CHECK_INTERVAL_S = 1.0  # for timeouts of two seconds and more
 RERUN_DELAY_S = 0.2  # between runs of work that ends with errors
 
 
@@ -33,6 +34,11 @@
         self.settings = settings
         self.metrics = Metrics(settings.process.name, name)
         self.event_log = EventLog(self.metrics, boot_time)
+        process = settings.process
+        self.limits = MachineLimits.from_settings(
+            process.memory_mb, process.max_descriptors
+        )
+        self.request_budget = RequestBudget(self.limits, self._count)
         self._name = name
         self._env = env
         self._tasks = set()
@@ -56,6 +62,9 @@
             lines.stop()
         return ExitStatus.OK
 
+    def _count(self, counter, reason):
+        self.event_log.count(counter, reason)
+
     @property
     def stopping(self):
         """Whether the process is shutting down or has shut down."""
@@ -109,7 +118,7 @@
         def handle(request):
             answer(request, 200 if is_ready() else 503)
 
-        HTTPServer(handle).listen(address.port, address.host)
+        HttpServer(handle, self.request_budget).listen(address.host, address.port)
 
     def listen_for_operators(self, **services):
         """Starts the operators' HTTP server if the settings have an address for it.
@@ -118,7 +127,9 @@
         """
         address = self.settings.process.operators
         if address is not None:
-            OperatorServer(self.metrics, self.event_log, **services).listen(address)
+            OperatorServer(
+                self.metrics, self.event_log, budget=self.request_budget, **services
+            ).listen(address)
 
     def start(self):
         """Installs the signal handlers and logs the start.
@@ -135,10 +146,16 @@
         for number, handler in handlers.items():
             loop.add_signal_handler(number, handler)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, handlers)
+        self.spawn(self.call_every(CLIENT_CHECK_INTERVAL_S, self._close_expired))
         self.event_log(
             "process:started", role=self._name, process=self.settings.process.name
         )
 
+    def _close_expired(self):
+        """Closes the connections whose clients have taken too long."""
+        for account in self.request_budget.expire(asyncio.get_running_loop().time()):
+            account.close()
+
     def _ignore_reload(self):
         # The settings only hold addresses and figures of the platform, which are read
         # at startup.
--- a/packages/daemon/banyanwheel_daemon/runner.py
+++ b/packages/daemon/banyanwheel_daemon/runner.py
@@ -53,7 +53,10 @@
         )
         self._members = Members(LogClient(settings.log.address), self.event_log)
         self._heartbeats = HeartbeatServer(
-            self._handle_worker_heartbeat, self._handle_worker_left, self.event_log
+            self._handle_worker_heartbeat,
+            self._handle_worker_left,
+            self.event_log,
+            self.request_budget,
         )
         self._client = None
         self._verifier = WorkerVerifier(
--- a/tests/daemon/test_service.py
+++ b/tests/daemon/test_service.py
@@ -110,5 +110,5 @@
     assert (first["message_type"], first["process"]) == ("process:started", "side-1")
     assert process.returncode == ExitStatus.OK
     imported = {line.rpartition("|")[2].strip() for line in errors.splitlines()}
-    assert "tornado.httpserver" in imported
+    assert "banyanwheel_platform.http_server" in imported
     assert not imported & {"typer", "pydantic"}
--- /dev/null
+++ b/tests/platform/test_request_budget.py
@@ -0,0 +1,168 @@
+"""Which connections are refused or closed, without any connection."""
+
+import resource
+
+import pytest
+
+from banyanwheel_platform.request_budget import (
+    CHUNK_BYTES,
+    CONNECTION_BYTES,
+    TIMEOUTS_S,
+    MachineLimits,
+    Phase,
+    RequestBudget,
+)
+
+MIB = 1024 * 1024
+BODY = 262_144
+LIMITS = MachineLimits(request_bytes=4 * MIB, work_bytes=4 * MIB, connections=64)
+
+
+class World:
+    """A budget, and the names of its connections that were closed."""
+
+    def __init__(self, limits=LIMITS):
+        self.counted = []
+        self.closed = []
+        self.accounts = {}
+        self.budget = RequestBudget(limits, lambda _, why: self.counted.append(why))
+
+    def open(self, name, now=0.0, phase=Phase.BODY, size=0, reserved=False):
+        """Returns whether a connection is admitted; it sends ``size`` bytes."""
+        account, victims = self.budget.admit(name, now, reserved)
+        self.close(victims)
+        if account is None:
+            return False
+        self.accounts[name] = account
+        self.budget.enter(account, phase, now)
+        self.receive(name, size)
+        return True
+
+    def receive(self, name, size):
+        self.close(self.budget.receive(self.accounts[name], size))
+
+    def close(self, victims):
+        self.closed += [account.close for account in victims]
+
+
+@pytest.fixture
+def world():
+    return World()
+
+
+def test_within_the_budget_nothing_is_closed(world):
+    for number in range(15):
+        assert world.open(number, size=BODY)
+    assert (world.closed, world.counted) == ([], [])
+
+
+def test_over_the_budget_the_largest_and_then_the_oldest_go_first(world):
+    for number in range(10):
+        world.open(f"small-{number}", now=number, size=1_000)
+    for number in range(20):
+        world.open(f"large-{number}", now=100 + number, size=BODY)
+    assert world.closed == [f"large-{number}" for number in range(len(world.closed))]
+    assert len(world.closed) >= 5
+    assert set(world.counted) == {"request-memory"}
+    assert world.budget.charged <= LIMITS.request_bytes
+
+
+def test_a_request_that_is_served_is_never_closed(world):
+    """Its caller would not know whether its job has run."""
+    world.open("served", phase=Phase.SERVING, size=BODY)
+    for number in range(100):
+        world.open(number, now=number, size=BODY)
+    world.close(world.budget.expire(1e9))
+    assert "served" not in world.closed
+    assert world.accounts["served"].open
+
+
+def test_what_closed_connections_held_is_free_again(world):
+    for number in range(100):
+        world.open(number, now=number, size=BODY)
+    for account in world.accounts.values():
+        world.budget.remove(account)
+        world.budget.remove(account)
+    assert (world.budget.charged, world.budget.connections) == (0, 0)
+
+
+def test_bytes_of_a_closed_connection_do_not_count(world):
+    world.open("left")
+    world.budget.remove(world.accounts["left"])
+    world.receive("left", BODY)
+    world.budget.hold(world.accounts["left"], BODY)
+    assert world.budget.charged == 0
+
+
+def test_a_request_begins_with_what_its_connection_costs(world):
+    world.open("kept-alive", size=BODY)
+    world.budget.hold(world.accounts["kept-alive"], 0)
+    assert world.budget.charged == CONNECTION_BYTES
+
+
+def test_one_legal_body_in_one_byte_chunks_is_left_alone(world):
+    world.open("slow")
+    for _ in range(BODY):
+        world.close(world.budget.receive_chunk(world.accounts["slow"]))
+    world.receive("slow", 6 * BODY)
+    assert world.closed == []
+
+
+def test_many_bodies_in_small_chunks_are_closed_early(world):
+    """They take processor time that ordinary callers need."""
+    for number in range(10):
+        world.open(number)
+        for _ in range(MIB // CHUNK_BYTES):
+            account = world.accounts[number]
+            world.close(world.budget.receive_chunk(account))
+    assert len(world.closed) >= 6
+
+
+def test_a_new_connection_replaces_the_oldest_unfinished_one(world):
+    world.open("served", now=0.0, phase=Phase.SERVING)
+    for number in range(1, 70):
+        assert world.open(number, now=number, phase=Phase.IDLE)
+    assert world.closed == list(range(1, len(world.closed) + 1))
+    assert world.budget.connections < LIMITS.connections
+    assert set(world.counted) == {"connection-limit"}
+
+
+def test_probes_get_in_while_callers_wait_on_all_their_connections(world):
+    admitted = [
+        world.open(number, phase=Phase.SERVING)
+        for number in range(LIMITS.connections + 1)
+    ]
+    assert False in admitted
+    assert world.open("probe", reserved=True)
+    assert world.closed == []
+
+
+@pytest.mark.parametrize("phase", TIMEOUTS_S)
+def test_a_phase_lasts_no_longer_than_its_timeout(world, phase):
+    world.open("slow", now=1.0, phase=phase)
+    world.close(world.budget.expire(1.0 + TIMEOUTS_S[phase]))
+    assert world.closed == []
+    world.close(world.budget.expire(1.1 + TIMEOUTS_S[phase]))
+    assert world.closed == ["slow"]
+
+
+def test_an_idle_connection_that_is_closed_is_no_refusal(world):
+    world.open("idle", phase=Phase.IDLE)
+    world.close(world.budget.expire(1_000.0))
+    assert (world.closed, world.counted) == (["idle"], [])
+
+
+@pytest.mark.parametrize("memory_mb", [1, 80, 128, 160, 4_096])
+@pytest.mark.parametrize("descriptors", [64, 1_024, 1_048_576])
+def test_limits_leave_room_for_the_process(memory_mb, descriptors):
+    limits = MachineLimits.of(memory_mb * MIB, descriptors)
+    assert limits.request_bytes > BODY
+    assert limits.connections * CONNECTION_BYTES <= limits.request_bytes / 2
+    assert 0 < limits.connections <= descriptors / 2
+
+
+def test_settings_go_before_resource_limits():
+    assert MachineLimits.from_settings(160, 64) == MachineLimits.of(160 * MIB, 64)
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    beyond = MachineLimits.from_settings(10**6, soft + 1)
+    assert beyond == MachineLimits.of(10**6 * MIB, soft)
