Bound the memory of open jobs

Cause: a body within the limit may hold 10,000 tasks of 0.7 KB each; 60 such jobs took 483 MB of a dispatcher. Nothing bounded them.

Change: jobs/open_work.py counts the memory of jobs with their tasks in the tables of each partition, and of submissions in the open requests. A job that does not fit into a third of what [process] memory_mb leaves is refused: by the entry (503), by a placer (the entry tries another one), by the owner of a stored job (503). Repeated submissions of a job that is open here are taken in any case, and one job alone always fits. An entry without memory for a stored job that another dispatcher owns answers 504: the owner may have the job from an earlier request, so a refusal might be untrue.

--- a/packages/daemon/banyanwheel_daemon/dispatcher.py
+++ b/packages/daemon/banyanwheel_daemon/dispatcher.py
@@ -18,6 +18,7 @@
     Report,
     RunJob,
 )
+from banyanwheel_jobs.open_work import WorkLimit
 from banyanwheel_jobs.owners.drains import Drains
 from banyanwheel_jobs.owners.owner import Owner
 from banyanwheel_jobs.placing.placement import Placement
@@ -57,6 +58,7 @@
         self._clocks = (boot_time, wall_ms)
         self._log = LogClient(settings.log.address)
         self._dispatch_due = False
+        self._work_limit = WorkLimit(self.limits.work_bytes, self._held_bytes)
         self._owner = self._create_owner()
         self._views = self._owner.views
         self._members = Members(self._log, self.event_log)
@@ -66,6 +68,7 @@
             self._send_to_entry,
             lambda: self._contacts.placing,
             self.event_log,
+            self._work_limit.admits,
         )
         self._ownership = self._create_ownership()
         self._contacts = self._create_contacts()
@@ -78,6 +81,7 @@
             send=self._send_to_placer,
             numbers=numbers,
             own_offers=self._contacts.offers,
+            admits=self._work_limit.admits,
         )
         self._gateway = RequestGateway(
             self._owner,
@@ -89,6 +93,7 @@
             ownership=self._ownership,
             transient=self._transient,
             numbers=numbers,
+            admits=self._admits_stored,
         )
         self._feed = ConfigurationFeed(
             self._log,
@@ -103,6 +108,15 @@
         self._operations = None
         self._registration = None
 
+    def _held_bytes(self):
+        return self._owner.held_bytes + self._gateway.held_bytes
+
+    def _admits_stored(self, steps):
+        admitted = self._work_limit.admits(steps)
+        if not admitted:
+            self.event_log.count("banyanwheel.refusals", "work-limit")
+        return admitted
+
     def _create_owner(self):
         jobs = self.settings.jobs
         placement = Placement(
--- a/packages/daemon/banyanwheel_daemon/request_gateway.py
+++ b/packages/daemon/banyanwheel_daemon/request_gateway.py
@@ -5,6 +5,7 @@
 
 from banyanwheel_jobs.messages import ForwardedReply, ForwardedRequest
 from banyanwheel_jobs.model import JobState, Step, Submission, partition_of
+from banyanwheel_jobs.open_work import HeldTable, submission_bytes
 from banyanwheel_jobs.outcomes import RETRY_AFTER_MS, Outcome, Reply
 
 __all__ = ["RequestGateway"]
@@ -49,7 +50,7 @@
     partition; ``ownership.call_when_confirmed(callback)`` calls back once the log has
     confirmed again which partitions are assigned to this dispatcher. ``transient`` are
     the TransientRequests; ``numbers`` yields the numbers of requests, any of which may
-    have to be forwarded.
+    have to be forwarded. ``admits(steps)`` tells whether a job fits into memory.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         ownership,
         transient,
         numbers,
+        admits=lambda steps: True,
     ):
         self._owner = owner
         self._partitions = partitions
@@ -74,7 +76,8 @@
         self._ownership = ownership
         self._owner_addresses = {}  # by partition
         self._pending_counts = {}  # by address of the dispatcher
-        self._requests = {}
+        self._requests = HeldTable(lambda each: submission_bytes(each.ask.steps))
+        self._admits = admits
         self._numbers = numbers
         self._transient = transient
         self.routing = None
@@ -89,6 +92,11 @@
         """The number of requests that have not been answered."""
         return len(self._requests) + len(self._transient)
 
+    @property
+    def held_bytes(self):
+        """The memory that the submissions of unanswered requests take."""
+        return self._requests.held_bytes + self._transient.held_bytes
+
     def heard_at(self, address):
         """Returns when another dispatcher last sent its partitions, None for never."""
         counts = self._pending_counts.get(address)
@@ -147,6 +155,11 @@
 
     def submit(self, job_id, queue, spec, steps, reply, deadline_s):
         """Submits a job to be stored; ``reply`` is called with a Reply."""
+        forwarded = self._partition_of(job_id) not in self._owner.partitions
+        if forwarded and not self._admits(steps):
+            # Its owner may have the job from an earlier request.
+            reply(Reply(Outcome.IN_DOUBT))
+            return
         details = (queue, spec, steps, self._wall_ms())
         ask = ForwardedRequest(next(self._numbers), "submit", job_id, *details)
         self._start_request(ask, reply, deadline_s)
@@ -311,7 +324,7 @@
         new = partition is not None and not (
             partition.knows(ask.job_id) or ask.job_id in partition.pending_submissions
         )
-        if new and self._ownership.stalled(partition):
+        if new and (self._ownership.stalled(partition) or not self._admits(ask.steps)):
             reply(Reply(Outcome.NOT_STORED, retry_ms=RETRY_AFTER_MS))
             return
         submission = Submission(
--- a/packages/daemon/banyanwheel_daemon/transient_requests.py
+++ b/packages/daemon/banyanwheel_daemon/transient_requests.py
@@ -5,6 +5,7 @@
 
 from banyanwheel_jobs.cells.forwarding import ForwardedJobs, may_outlast
 from banyanwheel_jobs.model import Submission
+from banyanwheel_jobs.open_work import submission_bytes
 from banyanwheel_jobs.outcomes import RETRY_AFTER_MS, Outcome, Reply
 from banyanwheel_jobs.placing.placement import may_end_in_time
 
@@ -46,16 +47,30 @@
 
     ``own_offers()`` returns the ServiceOffers of this dispatcher, None if it places no
     tasks. ``send(address, incarnation, message)`` sends to another dispatcher;
-    ``numbers`` yields the numbers of requests.
+    ``numbers`` yields the numbers of requests. ``admits(steps)`` tells whether there is
+    memory for one more job.
     """
 
-    def __init__(self, owner, placers, clocks, event_log, *, send, numbers, own_offers):
+    def __init__(
+        self,
+        owner,
+        placers,
+        clocks,
+        event_log,
+        *,
+        send,
+        numbers,
+        own_offers,
+        admits=lambda steps: True,
+    ):
         self._owner = owner
         self._placers = placers
         self._now, self._wall_ms = clocks
         self._event_log = event_log
         self._own_offers = own_offers
+        self._admits = admits
         self._requests = set()
+        self._held_bytes = 0
         self._unrouted = []
         self._shutdown_deadline = float("inf")
         self._active_at = self._now()  # when this process last did anything
@@ -67,6 +82,11 @@
         """Returns the number of unanswered jobs."""
         return len(self._requests)
 
+    @property
+    def held_bytes(self):
+        """The memory that the submissions of unanswered jobs take."""
+        return self._held_bytes
+
     def run(self, job_id, queue, spec, steps, reply, deadline_s, is_connected=None):
         """Runs a transient job and returns a function that abandons it.
 
@@ -92,17 +112,34 @@
             deadline_ms=round(deadline_s * 1000),
         )
         request = _Request(submission, reply, now, now + deadline_s, is_connected)
+        known = self._is_known(job_id)
+        admitted = known or self._admits(steps)
         self._requests.add(request)
-        if may_outlast(submission, now, self._shutdown_deadline):
+        self._held_bytes += submission_bytes(steps)
+        if not admitted:
+            self._refuse(request, "work-limit")
+        elif may_outlast(submission, now, self._shutdown_deadline):
             self._refuse(request, "dispatcher-stopping")
         else:
             self._route(request, now)
 
         return partial(self._abandon, request)
 
+    def _is_known(self, job_id):
+        """Whether an earlier submission of a job is open, so that its tasks count."""
+        return (
+            self._owner.has_transient(job_id)
+            or self._forwarded.placer_of(job_id) is not None
+        )
+
+    def _forget(self, request):
+        if request in self._requests:
+            self._requests.remove(request)
+            self._held_bytes -= submission_bytes(request.submission.steps)
+
     def _abandon(self, request):
         request.done = True
-        self._requests.discard(request)
+        self._forget(request)
         request.abandon()
 
     def check_pause(self):
@@ -193,7 +230,7 @@
         if request.done:
             return
         request.done = True
-        self._requests.discard(request)
+        self._forget(request)
         self._event_log.observe(
             "banyanwheel.request.duration",
             self._now() - request.received_at,
--- a/packages/jobs/banyanwheel_jobs/cells/forwarding.py
+++ b/packages/jobs/banyanwheel_jobs/cells/forwarding.py
@@ -188,13 +188,15 @@
     """The placer's side: jobs that it runs for the callers of other dispatchers.
 
     ``send(entry, message)`` sends to an entry, an (address, incarnation). ``placing()``
-    tells whether this dispatcher places tasks at present.
+    tells whether this dispatcher places tasks at present, ``admits(steps)`` whether it
+    has memory for one more job.
     """
 
-    def __init__(self, owner, send, placing, event_log):
+    def __init__(self, owner, send, placing, event_log, admits=lambda steps: True):
         self._owner = owner
         self._send = send
         self._placing = placing
+        self._admits = admits
         self._event_log = event_log
         self._entries = {}  # _Entry by (address, incarnation)
         self._shutdown_deadline = float("inf")
@@ -256,7 +258,10 @@
         """Returns why a job is left to another placer, empty if it is taken."""
         if may_outlast(submission, now, self._shutdown_deadline):
             return "dispatcher-stopping"
-        return "" if self._placing() else "not-placing"
+        if not self._placing():
+            return "not-placing"
+        known = self._owner.has_transient(submission.job_id)
+        return "" if known or self._admits(submission.steps) else "work-limit"
 
     def start_shutdown(self, deadline):
         """Refuses jobs that may not end by the deadline, for another placer to run."""
--- a/packages/jobs/banyanwheel_jobs/owners/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owners/owner.py
@@ -104,6 +104,11 @@
         """The owned partitions and that of the transient jobs."""
         return (*self._partitions.values(), self._transient)
 
+    @property
+    def held_bytes(self):
+        """The memory that the jobs of all partitions take."""
+        return sum(partition.held_bytes for partition in self.all_partitions)
+
     def _partition(self, number):
         if number == TRANSIENT_PARTITION:
             return self._transient
--- a/packages/jobs/banyanwheel_jobs/owners/partition.py
+++ b/packages/jobs/banyanwheel_jobs/owners/partition.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..model import TRANSIENT_PARTITION, Submission, TaskId
+from ..open_work import HeldTable
 from ..records import Accepted, Ended, Progress, decode, split_key
 from .job import Job
 from .journal import Journal
@@ -35,11 +36,12 @@
     epoch: int
     opened_at: float
     journal: Journal
-    jobs: dict = field(default_factory=dict)
+    jobs: HeldTable = field(default_factory=HeldTable.of_jobs)
     ended: dict = field(default_factory=dict)
     expiring: deque = field(default_factory=deque)  # (Unix ms of the end, job id)
     pending_submissions: dict = field(default_factory=dict)  # by job id
-    closing: dict = field(default_factory=dict)  # ended jobs whose runs must stop
+    # ended jobs whose runs must stop
+    closing: HeldTable = field(default_factory=HeldTable.of_jobs)
     surveyed: bool = False
     inherited: bool = False  # a former owner left jobs that have not ended
     unreadable_records: int = 0
@@ -81,6 +83,11 @@
         """The jobs that may have runs."""
         return [*self.jobs.values(), *self.closing.values()]
 
+    @property
+    def held_bytes(self):
+        """The memory that these jobs take."""
+        return self.jobs.held_bytes + self.closing.held_bytes
+
     def _restore(self, record, progress, now, now_ms):
         job_id, is_progress = split_key(record.key)
         try:
--- a/tests/daemon/gateways.py
+++ b/tests/daemon/gateways.py
@@ -23,6 +23,7 @@
     own_offers=lambda: (),
     send_to_placer=None,
     clock=lambda: NOW,
+    admits=lambda steps: True,
 ):
     """Returns a RequestGateway; ``own_offers`` gives None for an entry."""
     clocks = (clock, lambda: 0)
@@ -36,6 +37,7 @@
         send=send_to_placer,
         numbers=numbers,
         own_offers=own_offers,
+        admits=admits,
     )
     return RequestGateway(
         owner,
@@ -47,4 +49,5 @@
         ownership=ownership,
         transient=transient,
         numbers=numbers,
+        admits=admits,
     )
--- a/tests/daemon/test_transient_requests.py
+++ b/tests/daemon/test_transient_requests.py
@@ -30,6 +30,7 @@
     def __init__(self, offers=None):
         self.now = NOW
         self.connected = True
+        self.has_memory = True
         self.offers = offers
         self.sent = []
         self.replies = []
@@ -44,6 +45,7 @@
             own_offers=lambda: self.offers,
             send_to_placer=lambda *sent: self.sent.append(sent),
             clock=lambda: self.now,
+            admits=lambda steps: self.has_memory,
         )
         self.transient = self.gateway._transient
 
@@ -299,3 +301,36 @@
     assert site.gateway.open_requests == 1
     site.answer(Outcome.STATE, "completed")
     assert [reply.state for reply in site.replies] == ["completed"]
+
+
+def test_a_job_without_memory_for_it_is_refused_with_a_time(site):
+    """Its caller comes again: nothing of it has run or will."""
+    site.has_memory = False
+    site.run()
+    ((outcome, retry_ms),) = [(reply.outcome, reply.retry_ms) for reply in site.replies]
+    assert outcome is Outcome.NOT_STORED
+    assert retry_ms > 0
+    assert site.run_jobs == []
+    assert site.gateway.held_bytes == 0
+
+
+@pytest.mark.parametrize("offers", [None, (OFFER,)])
+def test_a_repeated_job_is_not_refused_for_want_of_memory(offers):
+    """Its earlier submission may have run: a refusal would be untrue."""
+    site = Site(offers=offers)
+    site.hear("one")
+    site.run()
+    site.has_memory = False
+    site.run()
+    assert site.replies == []
+
+
+def test_answered_and_abandoned_jobs_hold_no_memory(site):
+    leave = site.run()
+    assert site.gateway.held_bytes > 0
+    leave()
+    leave()
+    assert site.gateway.held_bytes == 0
+    site.run()
+    site.answer(Outcome.STATE, "completed")
+    assert site.gateway.held_bytes == 0
