--- a/packages/daemon/banyanwheel_daemon/dispatcher.py
+++ b/packages/daemon/banyanwheel_daemon/dispatcher.py
@@ -203,6 +203,7 @@
         gauge("banyanwheel.partitions", lambda: len(owner.partitions))
         gauge("banyanwheel.jobs.transient", lambda: len(owner.transient.jobs))
         gauge("banyanwheel.jobs.pending", lambda: sum(owner.pending.values()))
+        gauge("banyanwheel.jobs.bytes", self._held_bytes)
         gauge("banyanwheel.requests.open", lambda: gateway.open_requests)
         gauge("banyanwheel.runners.usable", lambda: owner.usable_runners(boot_time()))
         gauge("banyanwheel.room.free.millicores", lambda: owner.free_cpu(boot_time()))
--- a/packages/daemon/banyanwheel_daemon/role.py
+++ b/packages/daemon/banyanwheel_daemon/role.py
@@ -38,7 +38,7 @@
         self.limits = MachineLimits.from_settings(
             process.memory_mb, process.max_descriptors
         )
-        self.request_budget = RequestBudget(self.limits, self._count)
+        self.request_budget = RequestBudget(self.limits, self._report_refusal)
         self._name = name
         self._env = env
         self._tasks = set()
@@ -62,8 +62,16 @@
             lines.stop()
         return ExitStatus.OK
 
-    def _count(self, counter, reason):
-        self.event_log.count(counter, reason)
+    def _report_refusal(self, reason, phase):
+        budget = self.request_budget
+        self.event_log(
+            "client:refused",
+            reason=reason,
+            phase=phase,
+            connections=budget.connections,
+            held_bytes=budget.charged,
+        )
+        self.event_log.count("banyanwheel.refusals", reason)
 
     @property
     def stopping(self):
@@ -146,6 +154,9 @@
         for number, handler in handlers.items():
             loop.add_signal_handler(number, handler)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, handlers)
+        budget = self.request_budget
+        self.metrics.gauge("banyanwheel.clients", lambda: budget.connections)
+        self.metrics.gauge("banyanwheel.clients.bytes", lambda: budget.charged)
         self.spawn(self.call_every(CLIENT_CHECK_INTERVAL_S, self._close_expired))
         self.event_log(
             "process:started", role=self._name, process=self.settings.process.name
--- /dev/null
+++ b/tests/platform/test_http_server.py
@@ -0,0 +1,164 @@
+"""What the server does with single connections, within one process."""
+
+import asyncio
+import logging
+
+import pytest
+
+from banyanwheel_platform.http import answer
+from banyanwheel_platform.http_server import HttpServer
+from banyanwheel_platform.request_budget import (
+    CONNECTION_BYTES,
+    MachineLimits,
+    RequestBudget,
+)
+from tests.standins.layout import Ports
+
+MIB = 1024 * 1024
+LIMITS = MachineLimits(request_bytes=MIB, work_bytes=MIB, connections=8)
+POST = b"POST / HTTP/1.1\r\nHost: here\r\n"
+WHOLE = POST + b"Content-Length: 4\r\n\r\nbody"
+TIMEOUT_S = 20
+LARGE = b"x" * (64 * MIB)  # more than the kernel buffers
+
+
+class World:
+    """A server whose requests are kept, and its budget."""
+
+    def __init__(self, address):
+        self.requests = []
+        self.refused = []
+        self.budget = RequestBudget(
+            LIMITS, lambda reason, phase: self.refused.append(reason)
+        )
+        self.server = HttpServer(
+            self.requests.append, self.budget, max_body_bytes=lambda: 600_000
+        )
+        self._target = address.split(":")
+        self.server.listen(self._target[0], int(self._target[1]))
+
+    async def send(self, data):
+        """Returns the two ends of a new connection, after sending."""
+        reader, writer = await asyncio.open_connection(*self._target)
+        writer.write(data)
+        return reader, writer
+
+    async def wait_for(self, condition):
+        async with asyncio.timeout(TIMEOUT_S):
+            while not condition():
+                await asyncio.sleep(0.001)
+
+
+@pytest.fixture
+def play(caplog):
+    """Runs a coroutine function with a World; nothing unexpected may be logged."""
+
+    def play(scenario):
+        async def run():
+            ports = Ports()
+            world = World(ports.reserve())
+            try:
+                await scenario(world)
+            finally:
+                world.server.stop()
+                await world.server.close()
+                ports.close()
+            assert (world.budget.connections, world.budget.charged) == (0, 0)
+
+        with caplog.at_level(logging.WARNING):
+            asyncio.run(run())
+        assert [record.getMessage() for record in caplog.records] == []
+
+    return play
+
+
+def test_a_request_that_is_served_survives_larger_ones(play):
+    async def scenario(world):
+        reader, writer = await world.send(WHOLE)
+        await world.wait_for(lambda: world.requests)
+        others = [
+            await world.send(POST + b"Content-Length: 500000\r\n\r\n" + b"x" * 499_999)
+            for _ in range(4)
+        ]
+        await world.wait_for(lambda: world.refused)
+        answer(world.requests[0], 200, b"done")
+        async with asyncio.timeout(TIMEOUT_S):
+            assert (await reader.readuntil(b"done")).startswith(b"HTTP/1.1 200 ")
+        assert set(world.refused) == {"request-memory"}
+        for _, other in [(reader, writer), *others]:
+            other.close()
+
+    play(scenario)
+
+
+def test_a_released_body_holds_nothing(play):
+    async def scenario(world):
+        _, writer = await world.send(
+            POST + b"Content-Length: 500000\r\n\r\n" + b"x" * 500_000
+        )
+        await world.wait_for(lambda: world.requests)
+        assert world.budget.charged > 500_000
+        world.requests[0].release_body()
+        assert world.budget.charged == CONNECTION_BYTES
+        writer.close()
+
+    play(scenario)
+
+
+def test_a_client_that_does_not_take_its_answer_makes_room_for_others(play):
+    """Answers that nobody reads would fill the memory as requests do."""
+
+    async def scenario(world):
+        _, writer = await world.send(WHOLE)
+        await world.wait_for(lambda: world.requests)
+        answer(world.requests[0], 200, LARGE)
+        assert world.budget.charged > len(LARGE)
+        await world.send(WHOLE)
+        await world.wait_for(lambda: world.refused)
+        assert world.refused == ["request-memory"]
+        writer.transport.abort()
+
+    play(scenario)
+
+
+def test_a_body_that_is_not_asked_for_is_refused_without_being_asked_for(play):
+    async def scenario(world):
+        head = b"Content-Length: 600001\r\nExpect: 100-continue\r\n\r\n"
+        reader, writer = await world.send(POST + head)
+        async with asyncio.timeout(TIMEOUT_S):
+            received = await reader.readuntil(b"{}")
+        assert received.startswith(b"HTTP/1.1 413 ")
+        assert b"100" not in received.splitlines()[0]
+        assert (world.refused, world.requests) == (["too-large"], [])
+        writer.close()
+
+    play(scenario)
+
+
+def test_many_header_fields_are_not_kept_while_a_request_is_served(play):
+    """Three thousand fields of five bytes take 1 MB as objects."""
+
+    async def scenario(world):
+        fields = b"".join(b"a%d:\r\n" % number for number in range(2_000))
+        _, writer = await world.send(WHOLE.replace(b"Content", fields + b"Content", 1))
+        await world.wait_for(lambda: world.requests)
+        names = set(world.requests[0].headers)
+        assert names == {"Host", "Content-Length"}
+        writer.close()
+
+    play(scenario)
+
+
+def test_the_oldest_unfinished_connection_makes_room_for_a_new_one(play):
+    async def scenario(world):
+        clients = [await world.send(POST) for _ in range(LIMITS.connections + 1)]
+        async with asyncio.timeout(TIMEOUT_S):
+            assert await clients[0][0].read() == b""
+        assert world.refused == ["connection-limit"]
+        _, writer = clients[-1]
+        writer.write(b"Content-Length: 4\r\n\r\nbody")
+        await world.wait_for(lambda: world.requests)
+        for _, writer in clients:
+            writer.close()
+
+    play(scenario)
--- a/tests/platform/test_request_budget.py
+++ b/tests/platform/test_request_budget.py
@@ -25,7 +25,7 @@
         self.counted = []
         self.closed = []
         self.accounts = {}
-        self.budget = RequestBudget(limits, lambda _, why: self.counted.append(why))
+        self.budget = RequestBudget(limits, lambda why, _: self.counted.append(why))
 
     def open(self, name, now=0.0, phase=Phase.BODY, size=0, reserved=False):
         """Returns whether a connection is admitted; it sends ``size`` bytes."""
