--- a/packages/daemon/banyanwheel_daemon/dispatcher.py
+++ b/packages/daemon/banyanwheel_daemon/dispatcher.py
@@ -19,6 +19,7 @@
     Report,
     RunJob,
 )
+from banyanwheel_jobs.open_work import WorkLimit
 from banyanwheel_jobs.owners.drains import Drains
 from banyanwheel_jobs.owners.owner import Owner
 from banyanwheel_jobs.placing.placement import Placement
@@ -53,6 +54,7 @@
         self._clocks = (boot_time, wall_ms)
         self._log = LogClient(settings.log.address)
         self._dispatch_due = False
+        self._work_limit = WorkLimit(self.limits.work_bytes, self._held_bytes)
         self._owner = self._create_owner()
         self._views = self._owner.views
         self._members = Members(self._log, self.event_log)
@@ -63,6 +65,7 @@
             lambda: self._contacts.placing,
             self.event_log,
             self._placers.record_hosted,
+            self._work_limit.admits,
         )
         self._ownership = self._create_ownership()
         self._contacts = self._create_contacts()
@@ -75,6 +78,7 @@
             send=self._send_to_placer,
             numbers=numbers,
             own_offers=self._contacts.offers,
+            admits=self._work_limit.admits,
         )
         self._gateway = RequestGateway(
             self._owner,
@@ -86,6 +90,7 @@
             ownership=self._ownership,
             transient=self._transient,
             numbers=numbers,
+            admits=self._admits_stored,
         )
         self._evacuation_reader = EvacuationReader(
             self._owner.evacuations, self._evacuate, self.event_log
@@ -97,11 +102,20 @@
             self.event_log,
             settings.jobs.evacuation_ms,
         )
-        self._callers = CallerServer(self._gateway, self.event_log)
+        self._callers = CallerServer(self._gateway, self.event_log, self.request_budget)
         self._peers = None
         self._operations = None
         self._registration = None
 
+    def _held_bytes(self):
+        return self._owner.held_bytes + self._gateway.held_bytes
+
+    def _admits_stored(self, steps):
+        admitted = self._work_limit.admits(steps)
+        if not admitted:
+            self.event_log.count("banyanwheel.refusals", "work-limit")
+        return admitted
+
     def _create_owner(self):
         jobs = self.settings.jobs
         placement = Placement(
@@ -196,6 +210,7 @@
             "banyanwheel.waiting.core_seconds",
             lambda: sum(owner.waiting_cpu_ms.values()) / 1_000_000,
         )
+        gauge("banyanwheel.jobs.bytes", self._held_bytes)
         gauge("banyanwheel.requests.open", lambda: gateway.open_requests)
         gauge("banyanwheel.runners.usable", lambda: owner.usable_runners(boot_time()))
         gauge("banyanwheel.room.free.millicores", lambda: owner.free_cpu(boot_time()))
--- a/packages/daemon/banyanwheel_daemon/variables.py
+++ b/packages/daemon/banyanwheel_daemon/variables.py
@@ -14,6 +14,8 @@
 # Section and key of the setting by variable; the values are whole numbers.
 VARIABLES = {
     "BANYANWHEEL_EVACUATION_MS": ("jobs", "evacuation_ms"),
+    "BANYANWHEEL_MAX_DESCRIPTORS": ("process", "max_descriptors"),
+    "BANYANWHEEL_MEMORY_MB": ("process", "memory_mb"),
 }
 
 
--- a/tests/standins/layout.py
+++ b/tests/standins/layout.py
@@ -35,6 +35,7 @@
 
     ``proxied`` tells whether a proxy stands before each runner. Workers have these
     cores and labels in turn. Daemons follow evacuations with ``evacuation_ms``.
+    ``process`` has more lines of their [process].
     """
 
     dispatchers: int = 2
@@ -45,6 +46,7 @@
     worker_cpu: tuple = (4_000,)
     worker_labels: tuple = ("a",)
     evacuation_ms: int | None = None
+    process: str = ""
 
     @classmethod
     def uneven(cls, dispatchers, runners):
