Test of a deployment with room: a load at which each cell always has room

Beside expected durations the simulated cell 0 was full for a moment at 0.4 and 0.3 times the room (4.8 of 128 cores free, 9 core-seconds waiting), so that moving jobs was right. At 0.2 it never is, and all answers are the same to the millisecond, as the check still asks.

--- a/tests/jobs/cells/test_cells_under_load.py
+++ b/tests/jobs/cells/test_cells_under_load.py
@@ -83,7 +83,8 @@
 
 
 def test_a_deployment_with_room_is_served_as_before():
-    before, after = play(0.4, balanced=False), play(0.4)
+    # A cell of four workers has room at any moment only under a small load.
+    before, after = play(0.2, balanced=False), play(0.2)
     assert after.forwarded == before.forwarded
     assert [call.answered_at for call in after.calls] == [
         call.answered_at for call in before.calls
--- a/tests/jobs/test_open_work.py
+++ b/tests/jobs/test_open_work.py
@@ -69,7 +69,7 @@
         lambda entry, message: answers.append((message.number, message.outcome)),
         lambda: True,
         EventRecorder(),
-        lambda steps: admitted.pop(0),
+        admits=lambda steps: admitted.pop(0),
     )
     for number, job_id in ((1, "a" * 16), (2, "a" * 16), (3, "b" * 16)):
         submission = Submission(job_id, QUEUE, "", ORDINARY, 0, transient=True)
