--- a/packages/jobs/banyanwheel_jobs/owners/progress_handling.py
+++ b/packages/jobs/banyanwheel_jobs/owners/progress_handling.py
@@ -49,6 +49,15 @@
         other, elsewhere_s = self._elsewhere(job, task, view, total_ms, now)
         if is_straggling(*progress, **history, elsewhere_s=elsewhere_s):
             self._promised_room.add(other, job.step_of(task).resources, now)
+            self._event_log(
+                "task:moving",
+                task=str(task.id),
+                run=task.run,
+                runner=view.name,
+                room_at=other.name,
+                remaining_ms=round(total_ms * (100 - status.percent) / 100),
+                elsewhere_ms=round(elsewhere_s * 1000),
+            )
             self._move(partition, task, view, status, "slow-worker")
 
     def _move(self, partition, task, view, status, reason):
--- a/tests/jobs/owners/test_uneven.py
+++ b/tests/jobs/owners/test_uneven.py
@@ -57,6 +57,17 @@
 def test_runs_leave_a_slow_worker():
     worlds = [play("recovers", seed) for seed in SEEDS]
     assert any(stop.worker == SLOWED for world in worlds for stop in world.stops)
+    moves = [
+        fields
+        for world in worlds
+        for owner in world.owners
+        for event, fields in owner._event_log.events
+        if event == "task:moving"
+    ]
+    assert len(moves) == sum(len(world.stops) for world in worlds)
+    for move in moves:
+        assert move["room_at"] != move["runner"]
+        assert move["elsewhere_ms"] < move["remaining_ms"]
 
 
 @pytest.mark.parametrize("situation", SITUATIONS)
