A job's own tasks show a slow worker too

Its other tasks there are compared with those elsewhere, which have the same error of the estimate: two beside the run, three elsewhere.

tests/jobs/owners/test_stragglers.py (a job of 24 tasks on three workers, one of them slow), test_uneven.py and tests/jobs/durations passed.

--- a/packages/jobs/banyanwheel_jobs/durations/pace.py
+++ b/packages/jobs/banyanwheel_jobs/durations/pace.py
@@ -6,11 +6,11 @@
 
 import math
 from dataclasses import dataclass
-from statistics import median_low
+from statistics import median_high, median_low
 
 from .histogram import PRIOR_SPREAD
 
-__all__ = ["SLOW_FACTOR", "Pace", "PaceEstimate"]
+__all__ = ["MIN_SIBLINGS", "SLOW_FACTOR", "Pace", "PaceEstimate", "sibling_factor"]
 
 MAX_JOBS = 16  # remembered of a worker; their median is within 13% (one deviation)
 MAX_RUNS = 32  # remembered of a job at a worker; about as many run there at a time
@@ -27,6 +27,11 @@
 # The median of n jobs deviates by about 1.25 * PRIOR_SPREAD / sqrt(n). Three times that
 # is exceeded by chance by one of 740; each worker is looked at five times a second.
 DOUBTED_SPREAD = 3 * 1.25 * PRIOR_SPREAD
+# The same for the tasks of one job, which share the error of the estimate. Their spread
+# is not known; this is wider than a job's where callers fan out equal parts.
+DOUBTED_SIBLING_SPREAD = 3 * 1.25 * 0.25
+MIN_SIBLINGS = 2  # at the worker beside the run; both are long by chance once in 1,100
+MIN_SIBLINGS_ELSEWHERE = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +75,10 @@
         self._ratios[key] = log_ratio
         self._median = None
 
+    def ratios(self, without=None):
+        """Returns the logarithms of run time over estimate, but for one run's."""
+        return [ratio for key, ratio in self._ratios.items() if key != without]
+
 
 class Pace:
     """Run times over estimates of the recent runs at one worker, as one placer knows.
@@ -152,6 +161,11 @@
         factor = math.exp(median - DOUBTED_SPREAD / math.sqrt(jobs))
         return factor if factor >= SLOW_FACTOR else 1.0
 
+    def ratios_of(self, job, kind, without=None):
+        """Returns the logarithms of the ratios of a job's runs, but for one run's."""
+        of_job = self._jobs.get((job, kind))
+        return of_job.ratios(without) if of_job is not None else []
+
     def _estimate(self, reported, kind):
         prior = self._prior(reported)
         if kind is not None:
@@ -181,6 +195,18 @@
         )
 
 
+def sibling_factor(here, elsewhere):
+    """Returns how much slower a job's runs at a worker are at least than elsewhere.
+
+    Both are logarithms of ratios. It is 1 if that is little, or may be chance.
+    """
+    if len(here) < MIN_SIBLINGS or len(elsewhere) < MIN_SIBLINGS_ELSEWHERE:
+        return 1.0
+    doubt = DOUBTED_SIBLING_SPREAD * math.sqrt(1 / len(here) + 1 / len(elsewhere))
+    factor = math.exp(median_low(here) - median_high(elsewhere) - doubt)
+    return factor if factor >= SLOW_FACTOR else 1.0
+
+
 def _weighted_median(pairs):
     """Returns the sum of the weights, and the median of the values."""
     pairs = sorted(pairs)
--- a/packages/jobs/banyanwheel_jobs/owners/progress_handling.py
+++ b/packages/jobs/banyanwheel_jobs/owners/progress_handling.py
@@ -3,6 +3,7 @@
 import math
 
 from ..durations.durations import Kind, ratio_of, total_ms_of
+from ..durations.pace import MIN_SIBLINGS, sibling_factor
 from .stragglers import is_stalled, is_straggling
 
 __all__ = ["ProgressHandling"]
@@ -44,7 +45,7 @@
         if total_ms is None:
             return
         self._learn(job, task, view, total_ms, now)
-        if not view.pace.seems_slow or task.restarts:
+        if task.restarts:
             return
         other, elsewhere_s = self._elsewhere(job, task, view, total_ms, now)
         if is_straggling(*progress, **history, elsewhere_s=elsewhere_s):
@@ -67,12 +68,32 @@
         self._stop(partition, view, status, reason)
         self._event_log.count("banyanwheel.stops", reason)
 
+    def _slow_factor(self, job, task, view):
+        """Returns how much slower a worker is at least, 1 if it isn't known to be.
+
+        Shown by other jobs there, or by the other tasks of the job here and elsewhere.
+        """
+        kind = Kind.from_task(job, task)
+        factor = 1.0
+        if view.pace.seems_slow:
+            factor = view.pace.slow_factor(job.id, self._durations)
+        here = view.pace.ratios_of(job.id, kind, without=(task.id.index, task.run))
+        if len(here) < MIN_SIBLINGS:
+            return factor
+        elsewhere = [
+            ratio
+            for other in self._views.values()
+            if other is not view
+            for ratio in other.pace.ratios_of(job.id, kind)
+        ]
+        return max(factor, sibling_factor(here, elsewhere))
+
     def _elsewhere(self, job, task, view, total_ms, now):
         """Returns where a task on a slow worker would run now, and for how long.
 
         Both are None if the worker isn't known to be slow, or no other one has room.
         """
-        factor = view.pace.slow_factor(job.id, self._durations)
+        factor = self._slow_factor(job, task, view)
         if factor == 1.0:
             return None, None
         step = job.step_of(task)
--- a/tests/jobs/durations/test_pace.py
+++ b/tests/jobs/durations/test_pace.py
@@ -5,7 +5,13 @@
 import pytest
 
 from banyanwheel_jobs.durations.durations import Durations, Kind
-from banyanwheel_jobs.durations.pace import MAX_JOBS, MIN_OTHER_JOBS, Pace
+from banyanwheel_jobs.durations.pace import (
+    MAX_JOBS,
+    MIN_OTHER_JOBS,
+    SLOW_FACTOR,
+    Pace,
+    sibling_factor,
+)
 
 NOW = 100.0
 KIND = Kind("check", 0)
@@ -121,3 +127,28 @@
 def test_the_number_of_jobs_is_bounded():
     pace = paced([1.0] * (10 * MAX_JOBS))
     assert pace.estimate(0.0).jobs == MAX_JOBS
+
+
+@pytest.mark.parametrize(
+    ("here", "elsewhere", "slow"),
+    [
+        ([1.8] * 2, [0.0] * 3, True),
+        ([1.8] * 2, [0.0] * 2, False),  # too few
+        ([1.8], [0.0] * 8, False),
+        ([0.0, 1.9], [0.0] * 8, False),  # one of them is long by itself
+        ([1.8] * 4, [1.8] * 8, False),  # the estimate is bad
+        ([1.8] * 4, [0.0, 1.8, 1.8, 0.0], False),
+        ([0.3] * 8, [0.0] * 8, False),  # workers differ by as much
+        ([0.0] * 4, [1.8] * 8, False),
+    ],
+)
+def test_a_job_with_many_tasks_shows_a_slow_worker(here, elsewhere, slow):
+    """While no other job runs, a wide one would stay at a slow worker to its end."""
+    assert (sibling_factor(here, elsewhere) >= SLOW_FACTOR) is slow
+
+
+def test_a_run_is_no_sign_of_its_own_worker():
+    pace = paced([5.0])
+    assert pace.ratios_of("job-0", KIND, without=(f"{KIND}0", 1)) == []
+    assert len(pace.ratios_of("job-0", KIND)) == 1
+    assert pace.ratios_of("job-0", OTHER) == []
--- a/tests/jobs/owners/test_stragglers.py
+++ b/tests/jobs/owners/test_stragglers.py
@@ -153,13 +153,15 @@
     assert world.faults == []
 
 
-def test_runs_leave_a_slow_worker_as_soon_as_others_have_room():
+@pytest.mark.parametrize(("count", "tasks"), [(24, 1), (1, 24)])
+def test_runs_leave_a_slow_worker_as_soon_as_others_have_room(count, tasks):
+    """Whether other jobs or the job's other tasks show that the worker is slow."""
     world = World(owners=1, runners=3, run_s=1.0)
     for _ in range(20):
         world.step()
     world.workers["runner-0"].slowness = 6.0
-    steps = (Step(1, Resources(250), 1_000),)
-    jobs = [f"{number:016x}" for number in range(24)]
+    steps = (Step(tasks, Resources(250), 1_000),)
+    jobs = [f"{number:016x}" for number in range(count)]
     for job in jobs:
         submission = Submission(job, QUEUE, "", steps, 0, transient=True)
         world.hand_in("owner-0", submission, 60.0)
