--- a/tests/jobs/placing/test_placement.py
+++ b/tests/jobs/placing/test_placement.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from banyanwheel_jobs.durations.durations import Durations, Kind
 from banyanwheel_jobs.messages import WorkerStatus
 from banyanwheel_jobs.model import TRANSIENT_PARTITION, Resources, Step, Submission
 from banyanwheel_jobs.owners.job import Job
@@ -64,3 +65,13 @@
     """After a placer's start all of them are."""
     views = [tried(f"new-{n}", on_trial=True, runs=2, slowness=0.5) for n in range(2)]
     assert chosen(*views, tried("known")) == "new-0"
+
+
+@pytest.mark.parametrize(("queue", "name"), [(QUEUE.name, "b"), ("other", "a")])
+def test_a_worker_that_is_slow_for_one_kind_serves_the_others(queue, name):
+    slow = tried("a", slowness=0.9)
+    for number in range(8):
+        slow.pace.record((0, 1), f"job-{number}", Kind(queue, 0), 5.0, NOW)
+        slow.pace.record((0, 1), f"fast-{number}", Kind("fast", 0), 0.2, NOW)
+    slow.refresh_pace(Durations(), NOW)
+    assert chosen(slow, tried("b")) == name
