Refuse jobs with an answer once they hold most connections

Cause: whole requests are never closed while they are served. Legal jobs that wait for long could hold all connections of the callers' address, and new connections were then closed without an answer.

A crowd of 100 waiting jobs is added to the process tests, and one test that a job refused for memory never runs.

The new crowd passes without this change too, since its connections come at once; the test in tests/platform/test_callers.py fails without it.

--- a/packages/daemon/banyanwheel_daemon/operator_server.py
+++ b/packages/daemon/banyanwheel_daemon/operator_server.py
@@ -11,7 +11,7 @@
 from banyanwheel_core.ids import is_job_id
 from banyanwheel_core.problems import CONTENT_TYPE, Problem, Reason
 from banyanwheel_jobs.model import JobState
-from banyanwheel_jobs.outcomes import Outcome
+from banyanwheel_jobs.outcomes import RETRY_AFTER_MS, Outcome
 from banyanwheel_platform.http import is_connected
 from banyanwheel_platform.http_server import MAX_BODY_BYTES, HttpServer
 
@@ -128,6 +128,9 @@
     async def _put_job(self, request, job_id):
         if not _check_id(request, job_id):
             return
+        if not self._server.budget.may_serve():
+            answer_problem(request, _BUSY)
+            return
         job = JobDocument.from_json(request.body)
         request.release_body()
         reply = await self._gateway.submit_document(
@@ -182,6 +185,11 @@
 }
 
 
+_BUSY = Problem.of(
+    Reason.NOT_ACCEPTED, "too many open requests", retry_after_ms=RETRY_AFTER_MS
+)
+
+
 def _check_id(request, job_id):
     if is_job_id(job_id):
         return True
--- a/tests/daemon/test_untrusted_clients.py
+++ b/tests/daemon/test_untrusted_clients.py
@@ -15,6 +15,7 @@
 
 from .untrusted_clients import (
     ATTACKS,
+    MANY_TASKS,
     MAX_BODY_BYTES,
     SERVERS,
     Crowd,
@@ -34,7 +35,7 @@
     (name, attack)
     for name in SERVERS
     for attack in ATTACKS
-    if name in GATEWAYS or attack != "whole-stored"
+    if name in GATEWAYS or attack not in ("whole-stored", "whole-waiting")
 ]
 TOO_LARGE = b"HTTP/1.1 413 "
 RUN_MS = 3_000
@@ -153,3 +154,21 @@
         answer = result()
     assert answer.startswith(b"HTTP/1.1 200 ")
     assert b"completed" in answer
+
+
+def test_a_job_that_is_refused_for_memory_never_runs(cluster):
+    """A refusal promises that, and names a time."""
+    server = SERVERS["callers"]
+    address = cluster.address(server.daemon, server.name)
+    body = json.dumps({"bestEffort": True, "steps": [MANY_TASKS]}).encode()
+    lines = f"Content-Length: {len(body)}", "Request-Deadline-Ms: 60000"
+    jobs = [server.head(number, *lines) + body for number in (1, 2)]
+    first = in_thread(exchange, address, jobs[:1], b"}")
+    cluster.wait_for_event(TaskStarted)
+    refusal = exchange(address, jobs[1:], last=b"}")
+    assert refusal.startswith(b"HTTP/1.1 503 ")
+    assert b"\r\nRetry-After: " in refusal
+    cluster.caller().cancel(server.daemon, f"{1:016x}")
+    assert b"canceled" in first()
+    started = [event.task for event in cluster.events if isinstance(event, TaskStarted)]
+    assert not [task for task in started if task.startswith(f"{2:016x}")]
--- a/tests/daemon/untrusted_clients.py
+++ b/tests/daemon/untrusted_clients.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "ATTACKS",
+    "MANY_TASKS",
     "MAX_BODY_BYTES",
     "SERVERS",
     "Crowd",
@@ -27,6 +28,8 @@
 ANSWER_ATTEMPTS = 200
 ANSWER_PAUSE_S = 0.1
 KIB = 1_024
+MANY_TASKS = {"count": 10_000, "cpu": 1_000}
+TOO_LARGE_TASK = {"count": 1, "cpu": 1_000_000}  # no worker can run it, so it waits
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,16 +89,16 @@
         yield chunk * min(per_piece, chunks - start)
 
 
-def _whole(server, number, *, stored=False):
-    """Yields a job of 10,000 tasks in a body of the largest legal size."""
-    job = {"steps": [{"count": 10_000, "cpu": 1_000}]}
+def _whole(server, number, *, stored=False, step=MANY_TASKS, size=MAX_BODY_BYTES):
+    """Yields a job in a body of so many bytes."""
+    job = {"steps": [step]}
     if server.name == "operators":
         job |= {"queue": "counter", "transient": not stored}
     else:
         job |= {"bestEffort": not stored}
-    lines = f"Content-Length: {MAX_BODY_BYTES}", "Request-Deadline-Ms: 60000"
+    lines = f"Content-Length: {size}", "Request-Deadline-Ms: 60000"
     yield server.head(number, *lines)
-    yield json.dumps(job).encode().ljust(MAX_BODY_BYTES)
+    yield json.dumps(job).encode().ljust(size)
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +120,7 @@
     ),
     "simply-sent": _Attack(40, partial(_chunked, chunks=128, size=64 * KIB)),
     "whole": _Attack(60, _whole),
+    "whole-waiting": _Attack(100, partial(_whole, step=TOO_LARGE_TASK, size=200)),
     "whole-stored": _Attack(60, partial(_whole, stored=True)),
 }
 
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -10,6 +10,11 @@
 from banyanwheel_jobs.routing import RoutingTable
 from banyanwheel_platform.callers import CallerServer, read_steps
 from banyanwheel_platform.http import HttpClient
+from banyanwheel_platform.request_budget import (
+    SERVING_SHARE,
+    MachineLimits,
+    RequestBudget,
+)
 from tests.standins.layout import Ports
 
 
@@ -146,3 +151,42 @@
 
 def test_a_caller_that_left_before_its_request_was_read_is_not_there():
     assert presence(socket.socket.close) == [False]
+
+
+def test_jobs_beyond_those_that_may_be_open_are_refused_with_a_time():
+    """Jobs that wait for long held all connections, and nobody else got an answer."""
+    connections = 8
+    allowed = int(connections * SERVING_SHARE)
+
+    async def run():
+        calls = []
+        ports = Ports()
+        address = ports.reserve()
+        gateway = RunRecorder()
+        limits = MachineLimits(2**20, 2**20, connections)
+        server = CallerServer(gateway, None, RequestBudget(limits))
+        server.listen(address)
+        clients = [HttpClient(address) for _ in range(allowed)]
+        for number, client in enumerate(clients, start=1):
+            calls.append(
+                asyncio.ensure_future(
+                    client.call("POST", JOB_PATH, body=JOB_BODY, timeout_s=20)
+                )
+            )
+            async with asyncio.timeout(5):
+                while len(gateway.present) < number:
+                    await asyncio.sleep(0.001)
+        other = HttpClient(address)
+        refusal = await other.call("POST", JOB_PATH, body=JOB_BODY, timeout_s=20)
+        count = await other.call("GET", "/", timeout_s=20)
+        for call in calls:
+            call.cancel()
+        server.stop()
+        await server.close()
+        ports.close()
+        assert len(gateway.present) == allowed
+        return refusal, count
+
+    refusal, count = asyncio.run(run())
+    assert (refusal.code, count.code) == (503, 200)
+    assert int(refusal.headers["Retry-After"]) > 0
--- a/tests/platform/test_request_budget.py
+++ b/tests/platform/test_request_budget.py
@@ -137,6 +137,21 @@
     assert world.closed == []
 
 
+def test_jobs_that_are_served_leave_connections_to_other_requests(world):
+    """Jobs that wait for a long time could hold all connections."""
+    served = 0
+    while world.open(served, phase=Phase.SERVING) and world.budget.may_serve():
+        served += 1
+    assert LIMITS.connections / 2 < served < LIMITS.connections * 7 / 8 - 4
+    assert world.counted == ["serving-limit"]
+    world.budget.remove(world.accounts[0])
+    world.budget.enter(world.accounts[0], Phase.IDLE, 1.0)
+    assert world.budget.may_serve()
+    world.budget.enter(world.accounts[1], Phase.IDLE, 1.0)
+    world.open("next", phase=Phase.SERVING)
+    assert world.budget.may_serve()
+
+
 @pytest.mark.parametrize("phase", TIMEOUTS_S)
 def test_a_phase_lasts_no_longer_than_its_timeout(world, phase):
     world.open("slow", now=1.0, phase=phase)
