--- a/tests/jobs/owners/overload_world.py
+++ b/tests/jobs/owners/overload_world.py
@@ -20,19 +20,17 @@
 from banyanwheel_jobs.model import (
     TRANSIENT_PARTITION,
     EndKind,
-    Queue,
     Resources,
     Step,
     Submission,
 )
-from banyanwheel_jobs.outcomes import Outcome
-from banyanwheel_jobs.owners.job import LATE_FACTOR
 from banyanwheel_jobs.owners.owner import Owner
 from banyanwheel_jobs.placing.placement import Placement
 from banyanwheel_jobs.placing.runner_view import RunnerView
 from banyanwheel_jobs.runners.overdue import ROOM_WAIT_S
 
 from ..world import EventRecorder
+from .overload_calls import Call, Kind
 
 __all__ = ["Call", "Kind", "OverloadWorld"]
 
@@ -44,66 +42,9 @@
 RUN_SPREAD = 0.4  # of the logarithm of a job's run time, among those of a kind
 ESTIMATE_SPREAD = 0.4  # of the logarithm of the submitter's estimate
 TASK_SPREAD = 0.15  # of the logarithm of a task's run time, among those of a job
-CALLER_PATIENCE_S = 1.5  # after the time until which a late answer is of use
 OTHER_PLACERS_REPORT_S = 0.1  # between reports to placers that are not at home
 
 
-@dataclass(frozen=True, slots=True)
-class Kind:
-    """A kind of jobs; widths and run times are medians."""
-
-    name: str
-    per_second: float
-    tasks: int
-    run_ms: int
-    cpu: int = 1_600
-
-    @property
-    def queue(self):
-        return Queue(self.name, "desk", 0, 3, 1.6, 60)
-
-
-@dataclass(slots=True)
-class Call:
-    """A caller's job; ``answered_at`` is None while it waits.
-
-    A task takes ``run_s`` on a worker of speed 1.
-    """
-
-    kind: Kind
-    submission: Submission
-    at: float
-    placer: int
-    run_s: float
-    answered_at: float | None = None
-    outcome: Outcome | None = None
-
-    @property
-    def waited_s(self):
-        return self.answered_at - self.at
-
-    @property
-    def done(self):
-        return self.outcome is Outcome.STATE
-
-    @property
-    def said_not_run(self):
-        return self.outcome is Outcome.NOT_STORED
-
-    @property
-    def objective_s(self):
-        queue = self.kind.queue
-        return queue.slack_factor * self.run_s + queue.target_ms / 1000
-
-    @property
-    def deadline_s(self):
-        return LATE_FACTOR * self.objective_s + CALLER_PATIENCE_S
-
-    @property
-    def on_time(self):
-        return self.done and self.waited_s <= self.objective_s
-
-
 @dataclass(slots=True)
 class _Worker:
     name: str
@@ -138,7 +79,8 @@
 
     ``surges`` are (kind's name, from, until, factor) rows, ``losses`` the times at
     which workers leave, by their index. ``shares`` gives each placer its part of the
-    arrivals. Callers whose jobs were refused come again if ``callers_return``.
+    arrivals. ``cpu`` is that of each worker, or a list with one for each of them.
+    Callers whose jobs were refused come again if ``callers_return``.
     """
 
     def __init__(
@@ -167,9 +109,10 @@
         self._shares = shares
         self._callers_return = callers_return
         self._until = self.now + seconds
+        sizes = [cpu] * len(speeds) if isinstance(cpu, int) else cpu
         self._workers = [
-            _Worker(f"worker-{number:02}", speed, cpu, cpu)
-            for number, speed in enumerate(speeds)
+            _Worker(f"worker-{number:02}", speed, size, size)
+            for number, (speed, size) in enumerate(zip(speeds, sizes, strict=True))
         ]
         self.owners = [self._build_owner(number) for number in range(len(shares))]
         for number, at in (losses or {}).items():
@@ -256,7 +199,9 @@
 
     def _arrive(self, kind):
         numbers = self._numbers[kind]
-        width = max(1, round(kind.tasks * numbers.lognormvariate(0, 0.4)))
+        width = min(
+            kind.max_tasks, max(1, round(kind.tasks * numbers.lognormvariate(0, 0.4)))
+        )
         run_ms = kind.run_ms * numbers.lognormvariate(0, RUN_SPREAD)
         off = numbers.lognormvariate(0, ESTIMATE_SPREAD)
         estimate = max(1, round(run_ms * off))
