Shares: jobs get short room by worth per core-ms, with floors by queue and width class

Change: jobs/shares. While half of a service's CPU is in use, the order is expected worth per core-ms of remaining work; classes below half of their queue's share, or of the mean of all queues, go first. While more work arrives than the workers can do, a job that is unlikely to be on time and has not begun leaves half of the room to others. A job is refused once the work ahead of it leaves no time to be even late. A caller that returns as told goes first.

--- a/packages/jobs/banyanwheel_jobs/owners/dispatching.py
+++ b/packages/jobs/banyanwheel_jobs/owners/dispatching.py
@@ -46,12 +46,26 @@
         largest_cpu = room.largest_cpu
         if largest_cpu < least_cpu:
             return
-        for job in sorted(jobs, key=lambda job: rank(job, now)):
+        for job in self._in_order(jobs, room, now):
             if largest_cpu >= job.min_task_cpu and self._place_job(job, room, now):
                 largest_cpu = room.largest_cpu
                 if largest_cpu < least_cpu:
                     return
 
+    def _in_order(self, jobs, room, now):
+        """Returns the jobs in the order in which they get room.
+
+        Jobs of different services don't compete, so that each service's order counts
+        only among its own jobs.
+        """
+
+        def key(job):
+            if room.pool(job.submission.queue.service, "").busy:
+                return self.shares.precedence(job, now)
+            return rank(job, now)
+
+        return sorted(jobs, key=key)
+
     def _usable_views(self, now):
         return [
             view
@@ -96,7 +110,9 @@
         # What keeps one task that avoids no runner from being placed keeps all others.
         blocked = False
         for task in tasks:
-            reserved = not pool.headroom.admits(job, now)
+            reserved = not pool.headroom.admits(
+                job, now
+            ) or self.shares.must_leave_room(job, now)
             if reserved and pool.busy:
                 return False
             view = None
--- a/packages/jobs/banyanwheel_jobs/owners/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owners/owner.py
@@ -8,6 +8,7 @@
 """
 
 from collections import OrderedDict
+from functools import partial
 
 from ..authority import replacement_delay_s
 from ..cells.placers import offers_of, suits
@@ -15,6 +16,8 @@
 from ..model import TRANSIENT_PARTITION, JobState, Submission, partition_of
 from ..outcomes import RETRY_AFTER_MS, Outcome, Reply
 from ..records import Accepted, Ended, encode, job_key, progress_key
+from ..shares.return_places import ReturnPlaces
+from ..shares.shares import Shares
 from .dispatching import Dispatching
 from .drains import Drains
 from .job import Job
@@ -61,7 +64,9 @@
         self._reachable_at = None  # when a runner was last usable, or startup ends
         self._canceled = OrderedDict()  # ids of transient jobs that callers canceled
         self._refused = OrderedDict()  # reasons by id of transient jobs
+        self._return_places = ReturnPlaces()
         self.drains = Drains()
+        self.shares = Shares()
 
     @property
     def partitions(self):
@@ -121,6 +126,8 @@
         )
         self._partitions[number] = partition
         self._waiting.update(partition.jobs.values())
+        for job in partition.jobs.values():
+            self.shares.arrive(job)
         self._event_log(
             "partition:opened",
             partition=number,
@@ -138,6 +145,7 @@
             return
         self._waiting.difference_update(partition.jobs.values())
         for job in partition.jobs.values():
+            self.shares.forget(job)
             for reply in job.on_final:
                 reply(Reply(Outcome.NOT_OWNER))
         self._event_log(
@@ -204,6 +212,7 @@
         job = Job.from_submission(submission, partition.number, partition.epoch, now)
         partition.jobs[job.id] = job
         self._waiting.add(job)
+        self.shares.arrive(job)
 
     def ask(self, job_id, reply):
         """Replies with a job's state; waits if the job's end is just being stored."""
@@ -244,6 +253,7 @@
         job.ending = state = job.state_after(event)
         job.reason = reason
         self._waiting.discard(job)
+        self.shares.settle(job, served=state is JobState.COMPLETED)
         ended = Ended(
             state,
             self._wall_ms(),
@@ -300,6 +310,7 @@
             self._survey(partition, now)
             self._store_progress(partition, now)
             self._expire_ended_jobs(partition)
+        self.shares.refresh(now, partial(self._capacity_cpu_s, now))
         self._expire_transient(now)
         self.dispatch(now)
 
--- a/packages/jobs/banyanwheel_jobs/owners/transient.py
+++ b/packages/jobs/banyanwheel_jobs/owners/transient.py
@@ -6,7 +6,8 @@
 from ..model import TRANSIENT_PARTITION, JobState, Submission
 from ..outcomes import RETRY_AFTER_MS, Outcome, Reply
 from ..placing.placement import ON_TIME_TIER, cannot_end_in_time, cannot_finish, rank
-from ..placing.retry_times import backlog_time_s, overload_retry_ms
+from ..placing.retry_times import backlog_time_s, capacity_cpu_s, overload_retry_ms
+from ..shares.forecast import hopeless_jobs
 from .job import Job
 
 __all__ = ["TransientJobs"]
@@ -15,6 +16,8 @@
 # After a power loss of all machines, a runner gets its worker's first heartbeat within
 # this time. Jobs that arrive meanwhile may still count, as late.
 STARTUP_S = 2.5
+# Why jobs end without having been served or turned down.
+WITHDRAWN = frozenset(("caller-left", "canceled", "dispatcher-stopping"))
 MAX_CANCELED_IDS = 5_000  # far more than are canceled within their deadlines
 MAX_REFUSED_IDS = 2_000  # for operators who ask why; overload refuses some 100 a second
 
@@ -73,6 +76,8 @@
             job.confirmed_at = call.confirmed_at
             self._transient.jobs[job_id] = job
             self._waiting.add(job)
+            returns = self._return_places.take(job_id, call.received_at)
+            self.shares.arrive(job, returns=returns)
         elif call.confirmed_at is None:
             self.confirm_transient(job_id, float("inf"))
         else:
@@ -162,6 +167,10 @@
         del self._transient.jobs[job.id]
         self._waiting.discard(job)
         job.apply_event(event)
+        if reason in WITHDRAWN:
+            self.shares.forget(job)
+        else:
+            self.shares.settle(job, served=job.state is JobState.COMPLETED)
         job.reason = reason
         self._event_log("job:ended", job=job.id, state=job.state, reason=reason)
         placed = job.placed()
@@ -182,24 +191,44 @@
 
     def _expire_transient(self, now):
         contended = self._has_contention(now)
-        too_late = []
+        too_late = self._hopeless(now)
         for job in list(self._transient.jobs.values()):
             if now >= job.expires_at:
+                too_late.pop(job, None)
                 self.abort_transient(job.id, "deadline")
             elif not job.may_have_begun:
-                if cannot_end_in_time(job, now):
-                    too_late.append(job)
-                elif not self.has_reachable_runner(now):
+                if job not in too_late and not self.has_reachable_runner(now):
                     self._refuse_transient(job, "no-runner", now)
             elif cannot_finish(job, now, contended):
                 self._event_log.count("banyanwheel.refusals", "begun-too-late")
                 self.abort_transient(job.id, "begun-too-late")
         if too_late:
-            backlog_s = backlog_time_s(self._waiting.active, self._views.values(), now)
+            waiting = [job for job in self._waiting.active if job not in too_late]
+            backlog_s = backlog_time_s(waiting, self._views.values(), now)
             for job in too_late:
                 retry_ms = overload_retry_ms(job.id, backlog_s)
                 self._refuse_transient(job, "too-late", now, retry_ms)
 
+    def _hopeless(self, now):
+        """Returns the jobs that can't end in time, given the work ahead of them."""
+        hopeless = dict.fromkeys(
+            job
+            for job in self._transient.jobs.values()
+            if not job.may_have_begun and cannot_end_in_time(job, now)
+        )
+        by_service = {}
+        for job in self._waiting.active:
+            if job.partition == TRANSIENT_PARTITION and job not in hopeless:
+                by_service.setdefault(job.submission.queue.service, []).append(job)
+        for service, jobs in by_service.items():
+            capacity = self._capacity_cpu_s(now, service)
+            jobs.sort(key=lambda job: self.shares.precedence(job, now))
+            hopeless.update(dict.fromkeys(hopeless_jobs(jobs, capacity, now)))
+        return hopeless
+
+    def _capacity_cpu_s(self, now, service):
+        return capacity_cpu_s(self._views.values(), now, service)
+
     def _has_contention(self, now):
         """Returns whether jobs that can still be on time wait for room."""
         return any(rank(job, now).tier == ON_TIME_TIER for job in self._waiting.active)
@@ -216,6 +245,8 @@
             waited_ms=round((now - job.received_at) * 1000),
             retry_ms=retry_ms,
         )
+        self.shares.settle(job, served=False)
+        self._return_places.keep(job.id, now + retry_ms / 1000, now)
         self._refused[job.id] = reason
         if len(self._refused) > MAX_REFUSED_IDS:
             self._refused.popitem(last=False)
