Shares: operators see demand, served jobs and classes below their floor

Change: show queues has demand_cpu, served_percent and below_floor; why names a job that leaves room; log lines shares:short and shares:enough; counter banyanwheel.shares returned-as-told. Run: tests/core/language, tests/jobs/shares, test_inspection, test_transient, tests/daemon/test_operations, _operator_server, _dispatcher, _transient_requests, _logs_and_metrics: passed.

--- a/packages/core/banyanwheel_core/language/tables.py
+++ b/packages/core/banyanwheel_core/language/tables.py
@@ -134,6 +134,11 @@
             version="version of the configuration",
         ),
         *_durations(target_ms="added to the time until a job is late"),
+        *_numbers(
+            demand_cpu="thousandths of a core that its jobs need here at present",
+            served_percent="of its jobs that ended here in the last seconds",
+        ),
+        *_lists(below_floor="width classes that go first: usual, wide, widest"),
     ),
     Table.PARTITIONS: (
         *_numbers(partition="number of the partition", epoch="its owner's epoch"),
--- a/packages/daemon/banyanwheel_daemon/inspector.py
+++ b/packages/daemon/banyanwheel_daemon/inspector.py
@@ -72,6 +72,7 @@
                 "pending": self._gateway.pending(queue),
                 "version": routing.version,
                 "target_ms": queue.target_ms,
+                **inspection.queue_shares(self._owner, queue),
             }
             for host, rows in routing.by_host.items()
             for prefix, queue in rows
--- a/packages/jobs/banyanwheel_jobs/owners/inspection.py
+++ b/packages/jobs/banyanwheel_jobs/owners/inspection.py
@@ -5,7 +5,19 @@
 from .explaining import explain
 from .job import TaskState
 
-__all__ = ["job_rows", "partition_rows", "task_rows", "why_rows", "worker_rows"]
+__all__ = [
+    "job_rows",
+    "partition_rows",
+    "queue_shares",
+    "task_rows",
+    "why_rows",
+    "worker_rows",
+]
+
+LEAVES_ROOM = (
+    "more work arrives than the workers can do, and it is unlikely to be on time: it "
+    "leaves half of the room to other jobs"
+)
 
 
 def job_rows(owner, dispatcher, now):
@@ -38,7 +50,20 @@
     }
 
 
+def queue_shares(owner, queue):
+    """Returns the cells of the table of queues that tell what a queue receives here."""
+    account = owner.shares.queue_account(queue.service, queue.name)
+    share = account.total.share if account else None
+    return {
+        "demand_cpu": round(account.demand_cpu) if account else 0,
+        "served_percent": None if share is None else round(100 * share),
+        "below_floor": owner.shares.classes_below_floor(queue.service, queue.name),
+    }
+
+
 def _why(owner, job, now):
+    if any(job.startable(now)) and owner.shares.must_leave_room(job, now):
+        return LEAVES_ROOM
     return explain(job, owner.views.values(), owner.drains, owner.placement, now)
 
 
--- a/packages/jobs/banyanwheel_jobs/owners/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owners/owner.py
@@ -310,10 +310,20 @@
             self._survey(partition, now)
             self._store_progress(partition, now)
             self._expire_ended_jobs(partition)
-        self.shares.refresh(now, partial(self._capacity_cpu_s, now))
+        self._refresh_shares(now)
         self._expire_transient(now)
         self.dispatch(now)
 
+    def _refresh_shares(self, now):
+        for service in self.shares.refresh(now, partial(self._capacity_cpu_s, now)):
+            account = self.shares.services[service]
+            self._event_log(
+                "shares:short" if account.short else "shares:enough",
+                service=service,
+                demand_cpu=round(account.demand_cpu),
+                capacity_cpu=round(self._capacity_cpu_s(now, service)),
+            )
+
     def usable_runners(self, now):
         """Returns the number of runners that may get tasks."""
         return sum(view.usable(now) for view in self._views.values())
--- a/packages/jobs/banyanwheel_jobs/owners/transient.py
+++ b/packages/jobs/banyanwheel_jobs/owners/transient.py
@@ -78,6 +78,8 @@
             self._waiting.add(job)
             returns = self._return_places.take(job_id, call.received_at)
             self.shares.arrive(job, returns=returns)
+            if returns:
+                self._event_log.count("banyanwheel.shares", "returned-as-told")
         elif call.confirmed_at is None:
             self.confirm_transient(job_id, float("inf"))
         else:
--- a/packages/jobs/banyanwheel_jobs/shares/account.py
+++ b/packages/jobs/banyanwheel_jobs/shares/account.py
@@ -67,8 +67,8 @@
         return self._arrived_core_ms / self._arrived_jobs if self._arrived_jobs else 0.0
 
     @property
-    def demand_core_ms_per_s(self):
-        """The work that arrives in a second, over the last seconds."""
+    def demand_cpu(self):
+        """The work that arrived in a second lately, in thousandths of a core-second."""
         return self._arrived_core_ms * math.log(2) / HALF_LIFE_S
 
     def arrive(self, width, core_ms):
@@ -112,6 +112,11 @@
         self.short = False  # whether more work arrives than the workers can do
         self._decayed_at = None
 
+    @property
+    def demand_cpu(self):
+        """The work that arrives in a second, in thousandths of a core-second."""
+        return sum(account.demand_cpu for account in self.queues.values())
+
     def queue(self, name):
         """Returns the account of a queue, which is new if it has none."""
         account = self.queues.get(name)
@@ -130,8 +135,7 @@
         factor = 0.5 ** (max(0.0, elapsed_s) / HALF_LIFE_S)
         for account in self.queues.values():
             account.decay(factor)
-        demand = sum(each.demand_core_ms_per_s for each in self.queues.values())
-        self.short = demand > SHORT_SHARE * capacity_cpu_s
+        self.short = self.demand_cpu > SHORT_SHARE * capacity_cpu_s
         shares = [account.total.share for account in self.queues.values()]
         known = [share for share in shares if share is not None]
         floor = FLOOR_SHARE * sum(known) / len(known) if known else 0.0
--- a/packages/jobs/banyanwheel_jobs/shares/shares.py
+++ b/packages/jobs/banyanwheel_jobs/shares/shares.py
@@ -60,9 +60,28 @@
         self._entries.pop(job, None)
 
     def refresh(self, now, capacity_of):
-        """Lets old demand fade; ``capacity_of(service)`` is in core-ms a second."""
+        """Lets old demand fade; returns the services that became short, or enough.
+
+        ``capacity_of(service)`` is in core-ms a second.
+        """
+        changed = []
         for service, account in self.services.items():
+            was_short = account.short
             account.refresh(now, capacity_of(service))
+            if account.short is not was_short:
+                changed.append(service)
+        return changed
+
+    def queue_account(self, service, queue):
+        """Returns the QueueAccount of a queue, or None if no job of it has come."""
+        account = self.services.get(service)
+        return account.queues.get(queue) if account else None
+
+    def classes_below_floor(self, service, queue):
+        """Returns the names of the width classes of a queue that go first now."""
+        account = self.services.get(service)
+        below = account.below_floor if account else ()
+        return sorted(each.name.lower() for name, each in below if name == queue)
 
     def precedence(self, job, now):
         """Returns the Precedence of a job."""
