--- a/tests/jobs/shares/test_shares.py
+++ b/tests/jobs/shares/test_shares.py
@@ -4,6 +4,11 @@
 can hardly end on time any more, and nearly all are late.
 """
 
+import random
+from statistics import mean
+
+from hypothesis import given, settings, strategies as st
+
 from banyanwheel_jobs.model import (
     TRANSIENT_PARTITION,
     Queue,
@@ -12,6 +17,7 @@
     Submission,
 )
 from banyanwheel_jobs.owners.job import Job
+from banyanwheel_jobs.shares.account import FLOOR_SHARE
 from banyanwheel_jobs.shares.forecast import hopeless_jobs
 from banyanwheel_jobs.shares.return_places import KEPT_S, MAX_PLACES, ReturnPlaces
 from banyanwheel_jobs.shares.shares import FIRST_TIER, NORMAL_TIER, Shares
@@ -19,6 +25,12 @@
 NOW = 100.0
 CAPACITY = 8_000
 
+ROUND_S = 0.1
+# Three half-lives of the account: the time after which a class that was starved is no
+# longer below its floor.
+SETTLING_ROUNDS = 90
+ROUNDS = 300
+
 
 def job(number, tasks=1, estimate_ms=1_000, received_at=NOW, priority=0):
     queue = Queue(f"q-{priority}", "desk", priority, 3, 1.6, 60)
@@ -120,3 +132,29 @@
     for number in range(MAX_PLACES + 10):
         places.keep(str(number), NOW + 1, NOW)
     assert len(places) == MAX_PLACES
+
+
+@settings(max_examples=25, deadline=None, derandomize=True)
+@given(seed=st.integers(0, 1_000), room=st.floats(0.25, 0.8))
+def test_no_class_stays_below_its_floor(seed, room):
+    """Without floors, the widths with the least worth per core-ms get no room."""
+    numbers, shares = random.Random(seed), Shares()
+    served = {}  # whether each job was, by queue's priority and number of tasks
+    for number in range(ROUNDS):
+        now = NOW + number * ROUND_S
+        jobs = [
+            job(each, numbers.choice((1, 1, 1, 1, 2, 8)), 500, now, each % 2)
+            for each in range(10)
+        ]
+        for each in jobs:
+            shares.arrive(each)
+        shares.refresh(now, lambda service: 0)
+        left = room * sum(len(each.tasks[0]) for each in jobs)
+        for each in sorted(jobs, key=lambda each: shares.precedence(each, now)):
+            shares.settle(each, served=left > 0)
+            if number >= SETTLING_ROUNDS:
+                key = each.submission.queue.priority, len(each.tasks[0])
+                served.setdefault(key, []).append(left > 0)
+            left -= len(each.tasks[0])
+    whole = mean(map(mean, served.values()))
+    assert all(mean(each) >= FLOOR_SHARE * whole for each in served.values())
