--- a/packages/jobs/banyanwheel_jobs/owners/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owners/owner.py
@@ -8,6 +8,7 @@
 """
 
 from collections import OrderedDict
+from functools import partial
 
 from ..authority import replacement_delay_s
 from ..cells.placers import offers_of, suits
@@ -17,6 +18,8 @@
 from ..model import TRANSIENT_PARTITION, JobState, Submission, partition_of
 from ..outcomes import RETRY_AFTER_MS, Outcome, Reply
 from ..records import Accepted, Ended, encode, job_key, progress_key
+from ..shares.return_places import ReturnPlaces
+from ..shares.shares import Shares
 from .dispatching import Dispatching
 from .drains import Drains
 from .evacuating import Evacuating
@@ -75,10 +78,12 @@
         self._reachable_at = None  # when a runner was last usable, or startup ends
         self._canceled = OrderedDict()  # ids of transient jobs that callers canceled
         self._refused = OrderedDict()  # reasons by id of transient jobs
+        self._return_places = ReturnPlaces()
         self.drains = Drains()
         self.evacuations = Evacuations.not_followed()
         self._evacuation_checked_at = float("-inf")
         self._any_evacuated = False
+        self.shares = Shares()
 
     @property
     def partitions(self):
@@ -148,6 +153,8 @@
         )
         self._partitions[number] = partition
         self._waiting.update(partition.jobs.values())
+        for job in partition.jobs.values():
+            self.shares.arrive(job)
         self._event_log(
             "partition:opened",
             partition=number,
@@ -165,6 +172,7 @@
             return
         self._waiting.difference_update(partition.jobs.values())
         for job in partition.jobs.values():
+            self.shares.forget(job)
             for reply in job.on_final:
                 reply(Reply(Outcome.NOT_OWNER))
         self._event_log(
@@ -231,6 +239,7 @@
         job = Job.from_submission(submission, partition.number, partition.epoch, now)
         partition.jobs[job.id] = job
         self._waiting.add(job)
+        self.shares.arrive(job)
 
     def ask(self, job_id, reply):
         """Replies with a job's state; waits if the job's end is just being stored."""
@@ -271,6 +280,7 @@
         job.ending = state = job.state_after(event)
         job.reason = reason
         self._waiting.discard(job)
+        self.shares.settle(job, served=state is JobState.COMPLETED)
         ended = Ended(
             state,
             self._wall_ms(),
@@ -327,9 +337,20 @@
             self._survey(partition, now)
             self._store_progress(partition, now)
             self._expire_ended_jobs(partition)
+        self._refresh_shares(now)
         self._expire_transient(now)
         self.dispatch(now)
 
+    def _refresh_shares(self, now):
+        for service in self.shares.refresh(now, partial(self._capacity_cpu_s, now)):
+            account = self.shares.services[service]
+            self._event_log(
+                "shares:short" if account.short else "shares:enough",
+                service=service,
+                demand_cpu=round(account.demand_cpu),
+                capacity_cpu=round(self._capacity_cpu_s(now, service)),
+            )
+
     def usable_runners(self, now):
         """Returns the number of runners that may get tasks."""
         return sum(view.usable(now) for view in self._views.values())
