A remote rack factor below 1 makes no cell attractive

The setting allows any factor above 0; a job would have gained by leaving its data.

Run: pytest tests/jobs/cells/test_balance.py, tests/daemon/test_any_message.py, test_contacts.py, test_transient_requests.py, test_dispatcher.py, test_logs_and_metrics.py, test_request_gateway.py, test_operations.py, and tests/promises/test_cells.py, passed.

--- a/packages/jobs/banyanwheel_jobs/cells/placers.py
+++ b/packages/jobs/banyanwheel_jobs/cells/placers.py
@@ -228,7 +228,8 @@
     def _extra_s(self, submission):
         """Returns a function: how much longer a job runs in a cell without its data."""
         racks = _racks(submission)
-        extra_s = (self._remote_rack_factor - 1) * submission.critical_path_ms / 1000
+        longer = max(0.0, self._remote_rack_factor - 1)
+        extra_s = longer * submission.critical_path_ms / 1000
 
         def extra(cell):
             return extra_s if racks and racks.isdisjoint(cell.offer.labels) else 0.0
