Interference: find kinds of tasks that slow each other down, and keep them apart

Some tasks slow each other down on one machine, and placement took no account of it.

With `[jobs] separate_interfering` (default false) a dispatcher learns from the ends of its runs: run time over estimate of a kind (queue, step number), with and without another kind that ran at the same worker when the run started, compared worker by worker with medians. A pair needs 30 exposed runs at three workers, a lower bound of 1.1 at three standard errors, and the same without any one worker; it fades with a half-life of 60 s. Placement multiplies the cost of a worker by the slowdown that the task would suffer and cause there, after it has been decided that the task does not wait. `why` names the pairs, counters and log lines each one found, forgotten and used. Without the setting no object is created.

--- a/packages/daemon/banyanwheel_daemon/dispatcher.py
+++ b/packages/daemon/banyanwheel_daemon/dispatcher.py
@@ -106,7 +106,9 @@
     def _create_owner(self):
         jobs = self.settings.jobs
         placement = Placement(
-            self.settings.process.data_centre, jobs.remote_rack_factor
+            self.settings.process.data_centre,
+            jobs.remote_rack_factor,
+            self._create_interference() if jobs.separate_interfering else None,
         )
         return Owner(
             self.settings.log.partitions,
@@ -118,6 +120,12 @@
             event_log=self.event_log,
         )
 
+    def _create_interference(self):
+        # Imported only where it is used, since imports delay the start of a process.
+        from banyanwheel_jobs.interference.interference import Interference
+
+        return Interference(self.event_log)
+
     def _create_ownership(self):
         return Ownership(
             self._log,
@@ -192,6 +200,9 @@
         gauge("banyanwheel.requests.open", lambda: gateway.open_requests)
         gauge("banyanwheel.runners.usable", lambda: owner.usable_runners(boot_time()))
         gauge("banyanwheel.room.free.millicores", lambda: owner.free_cpu(boot_time()))
+        interference = owner.placement.interference
+        if interference is not None:
+            gauge("banyanwheel.interference.pairs", lambda: len(interference.pairs))
 
     async def _stop(self):
         started = boot_time()
--- a/packages/daemon/banyanwheel_daemon/settings.py
+++ b/packages/daemon/banyanwheel_daemon/settings.py
@@ -83,12 +83,14 @@
 
     ``lease_ms`` is the duration of a runner's lease, ``retention_s`` how long ended
     jobs are kept, and ``remote_rack_factor`` the cost factor of a remote rack in
-    placement.
+    placement. With ``separate_interfering`` a dispatcher detects tasks that slow each
+    other down on one worker, and keeps them apart where there is room.
     """
 
     lease_ms: PositiveInt = 1_000
     retention_s: PositiveFloat = 120.0
     remote_rack_factor: PositiveFloat = 1.5
+    separate_interfering: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/jobs/banyanwheel_jobs/owners/dispatching.py
+++ b/packages/jobs/banyanwheel_jobs/owners/dispatching.py
@@ -135,6 +135,8 @@
         partition = self._partition(job.partition)
         job.place(task, view.name, partition.epoch)
         step = job.step_of(task)
+        if self._placement.interference is not None:
+            self._placement.interference.record_placed(view.name, job, task, now)
         view.add_assignment(
             (task.id, task.run), _UnreportedAssignment(step.resources, None, now)
         )
--- a/packages/jobs/banyanwheel_jobs/owners/explaining.py
+++ b/packages/jobs/banyanwheel_jobs/owners/explaining.py
@@ -15,14 +15,16 @@
     if job.ending is not None:
         return f"its final state {job.ending} is being stored"
     waiting = list(job.startable(now))
-    places = _places(job)
+    texts = []
     if waiting:
         reason = _obstacle(job, waiting[0], views, drains, placement, now)
-        text = f"{len(waiting)} tasks wait: {reason}"
-        return f"{text}; {places}" if places else text
-    if places:
-        return places
-    return _unstartable(job, now)
+        texts.append(f"{len(waiting)} tasks wait: {reason}")
+    texts.append(_places(job))
+    if not any(texts):
+        texts.append(_unstartable(job, now))
+    if placement.interference is not None:
+        texts.append(placement.interference.describe(job))
+    return "; ".join(text for text in texts if text)
 
 
 def _places(job):
--- a/packages/jobs/banyanwheel_jobs/owners/report_handling.py
+++ b/packages/jobs/banyanwheel_jobs/owners/report_handling.py
@@ -47,6 +47,7 @@
                 )
         view.incarnation = incarnation
         view.incarnation_heard_at = now
+        self._learn_interference(view, report, now)
         for status in report.runs:
             self._handle_run_status(view, status, now)
         acknowledged, superseded = [], []
@@ -57,6 +58,10 @@
                 view.name, EndsAcknowledged(tuple(acknowledged), tuple(superseded))
             )
 
+    def _learn_interference(self, view, report, now):
+        if self._placement.interference is not None:
+            self._placement.interference.observe(view, report, now)
+
     def _handle_run_status(self, view, status, now):
         partition, job, task = self.find(status.partition, status.task)
         if partition is None:
--- a/packages/jobs/banyanwheel_jobs/placing/placement.py
+++ b/packages/jobs/banyanwheel_jobs/placing/placement.py
@@ -76,11 +76,20 @@
 
 
 class Placement:
-    """Chooses the runner at which a task is expected to end first."""
+    """Chooses the runner at which a task is expected to end first.
 
-    def __init__(self, data_centre, remote_rack_factor):
+    With an :class:`Interference`, tasks that slow each other down are kept apart.
+    """
+
+    def __init__(self, data_centre, remote_rack_factor, interference=None):
         self._data_centre = data_centre
         self._remote_rack_factor = remote_rack_factor
+        self._interference = interference
+
+    @property
+    def interference(self):
+        """What is learned about interfering tasks, None if that is switched off."""
+        return self._interference
 
     def choose(self, job, task, views, used, now, *, any_runner=False):
         """Returns the best of ``views`` with enough room, or None to wait.
@@ -104,9 +113,30 @@
             fastest = min(fastest, cost)
             if cost < least and view.room_for(step.resources):
                 best, least = view, cost
-        if best is None or any_runner:
+        if best is None:
+            return None
+        if not any_runner and _worth_waiting(job, step, least, fastest, now):
+            return None
+        if self._interference is None or not self._interference.concerns(job, task):
             return best
-        return None if _worth_waiting(job, step, least, fastest, now) else best
+        return self._keep_apart(job, task, step, others, used, best)
+
+    def _keep_apart(self, job, task, step, views, used, best):
+        """Returns the view with room that costs least, interference included.
+
+        ``best`` is that without it. A task that is to wait never gets here, so that
+        interference makes no task wait.
+        """
+        chosen = min(
+            (view for view in views if view.room_for(step.resources)),
+            key=lambda view: (
+                self._cost(step, view, used)
+                * self._interference.cost_factor(job, task, view.name)
+            ),
+        )
+        if chosen is not best:
+            self._interference.count_separated(job, task)
+        return chosen
 
     def allowed(self, job, task, step, view, service):
         """Tells whether a worker may run a task, regardless of its free room."""
--- /dev/null
+++ b/tests/jobs/interference/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the detection of interference between tasks."""
--- /dev/null
+++ b/tests/jobs/interference/test_interference.py
@@ -0,0 +1,123 @@
+"""Which pairs of kinds are found to interfere, and how they are kept apart."""
+
+import pytest
+
+from banyanwheel_jobs.interference.interference import (
+    HALF_LIFE_S,
+    SAMPLES_PER_KIND,
+)
+from banyanwheel_jobs.owners import inspection
+
+from .shared_workers import SharedFleet, SharedWorker
+
+SLOWNESS = (0.55, 0.7, 0.85, 1.0, 1.1, 1.2)
+RATES = {"victim": 8, "cause": 4, "other": 8}
+# A pair is found by the time the window of samples has been filled twice.
+MAX_TASKS_TO_FIND = 2 * SAMPLES_PER_KIND
+PAIR = ("victim.0", "cause.0")
+SEEDS = range(1, 6)
+
+
+def workers(factor=1.0, cpu=6_000):
+    factors = {("victim", "cause"): factor}
+    return [
+        SharedWorker(f"w{number}", cpu, slowness, factors)
+        for number, slowness in enumerate(SLOWNESS)
+    ]
+
+
+def fleet_with_pair(**fields):
+    fleet = SharedFleet(*workers(factor=2.0), rates=RATES, **fields)
+    while (
+        not fleet.interference.pairs and fleet.submitted["victim"] < MAX_TASKS_TO_FIND
+    ):
+        fleet.step()
+    return fleet
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_pair_is_found_and_no_other_one(seed):
+    fleet = fleet_with_pair(seed=seed)
+    assert fleet.found == {PAIR}
+    fleet.run(60)
+    assert fleet.found == {PAIR}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_long_tasks_and_unlike_workers_are_no_interference(seed):
+    """Long tasks meet more others, and a slow worker has more tasks at a time."""
+    fleet = SharedFleet(*workers(), seed=seed, rates=RATES)
+    fleet.run(120)
+    assert fleet.found == set()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_worker_that_becomes_slow_for_a_while_is_no_interference(seed):
+    fleet = SharedFleet(*workers(), seed=seed, rates=RATES)
+    for slowness in (0.7, 3.0, 0.7):
+        fleet.workers["w1"].slowness = slowness
+        fleet.run(40)
+    assert fleet.found == set()
+
+
+def test_a_pair_is_forgotten_when_it_is_not_seen_any_more():
+    fleet = fleet_with_pair()
+    fleet.rates = {"other": 8}
+    # A factor of 2 fades to less than 1.1 within four half-lives.
+    fleet.run(4 * HALF_LIFE_S)
+    assert fleet.interference.pairs == []
+    assert ("interference:forgotten", "faded") in [
+        (event, fields.get("reason")) for event, fields in fleet.events.events
+    ]
+
+
+def drained(fleet):
+    """Lets all jobs end, so that every worker is idle."""
+    fleet.rates = {}
+    while fleet.jobs:
+        fleet.step()
+
+
+def placed(fleet, kind):
+    """Submits a job; returns the runner of its task after the next step."""
+    job = fleet.submit_kind(kind, 5_000)
+    fleet.step()
+    return fleet.tasks(job)[0].runner
+
+
+def test_interfering_tasks_are_kept_apart_where_there_is_room():
+    """Without the pair both get the fastest worker; either may come first."""
+    for first, second in (("victim", "cause"), ("cause", "victim")):
+        fleet = fleet_with_pair()
+        drained(fleet)
+        assert placed(fleet, first) == "w0"
+        assert placed(fleet, second) not in ("", "w0")
+        assert fleet.events.counts["banyanwheel.interference.separated", f"{second}.0"]
+
+
+def test_interfering_tasks_share_a_worker_at_once_where_there_is_no_other_room():
+    fleet = fleet_with_pair()
+    drained(fleet)
+    for name in sorted(fleet.workers)[1:]:
+        fleet.remove(name)
+    assert placed(fleet, "cause") == "w0"
+    assert placed(fleet, "victim") == "w0"
+
+
+def test_why_and_a_counter_name_a_pair():
+    fleet = fleet_with_pair()
+    drained(fleet)
+    for kind, named in (("victim", True), ("cause", True), ("other", False)):
+        job = fleet.submit_kind(kind, 5_000)
+        fleet.step()
+        (row,) = inspection.why_rows(fleet.owner, "d", job, fleet.now)
+        assert ("times as long beside cause.0" in row["why"]) is named
+    counts = fleet.events.counts
+    assert counts["banyanwheel.interference.found", "victim.0 beside cause.0"] == 1
+
+
+def test_nothing_is_learned_where_it_is_switched_off():
+    fleet = SharedFleet(*workers(factor=2.0), rates=RATES, separate=False)
+    fleet.run(10)
+    assert fleet.owner.placement.interference is None
+    assert fleet.events.events == []
--- a/tests/jobs/owners/fleet.py
+++ b/tests/jobs/owners/fleet.py
@@ -93,10 +93,12 @@
 class Fleet:
     """One owner of partition 0, its workers by name, and its jobs."""
 
-    def __init__(self, *workers):
+    def __init__(self, *workers, interference=None):
         self.now = 100.0
         self.workers = {}
-        self.owner = lone_owner(send=self._send, store=self._store)
+        self.owner = lone_owner(
+            send=self._send, store=self._store, interference=interference
+        )
         for worker in workers:
             self.add(worker)
         self.owner.open(0, 1, [], self.now, 0)
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -52,11 +52,11 @@
         pass
 
 
-def lone_owner(partitions=1, send=None, store=None):
+def lone_owner(partitions=1, send=None, store=None, interference=None):
     """Returns an owner without runners whose wall clock always reads 0."""
     return Owner(
         partitions,
-        Placement("dc", 1.5),
+        Placement("dc", 1.5, interference),
         retention_s=60,
         wall_ms=lambda: 0,
         send=send,
