Interference: cost at a worker by counts of kinds

A task of a kind in a pair looked at each run of each worker with room. Each worker now keeps the number and the summed estimates of its runs by kind, and only the kinds that interfere with the task's are looked up.

Run: tests/jobs/interference passed.

--- a/packages/jobs/banyanwheel_jobs/interference/interference.py
+++ b/packages/jobs/banyanwheel_jobs/interference/interference.py
@@ -63,7 +63,8 @@
         self._samples = OrderedDict()  # by kind, that of the last run at the end
         self._pairs = {}  # by (victim, cause)
         self._factors = {}  # faded ones, by (victim, cause)
-        self._concerned = frozenset()  # kinds in any pair
+        # Of each kind in a pair: slowdown from and of each other kind, less 1.
+        self._partners = {}
         self._refreshed_at = float("-inf")
 
     @property
@@ -99,7 +100,7 @@
 
     def concerns(self, job, task):
         """Returns whether a task is of a kind that interferes with another."""
-        return _kind(job, task) in self._concerned
+        return _kind(job, task) in self._partners
 
     def cost_factor(self, job, task, worker):
         """Returns the cost of a task at a worker over that without interference.
@@ -108,12 +109,14 @@
         other runs take while both run, in run times of the task.
         """
         kind, estimate_ms = _kind(job, task), max(1, job.step_of(task).estimate_ms)
-        suffered, caused = 1.0, 0.0
-        for other, other_ms in self._presence.at(worker):
-            suffered = max(suffered, self._factors.get((kind, other), 1.0))
-            slowdown = self._factors.get((other, kind), 1.0) - 1
-            caused += slowdown * min(1.0, other_ms / estimate_ms)
-        return suffered + caused
+        suffered = caused = 0.0
+        present = self._presence.at(worker)
+        for other, (slowed, slowing) in self._partners[kind].items():
+            if other in present:
+                count, total_ms = present[other]
+                suffered = max(suffered, slowed)
+                caused += slowing * min(count, total_ms / estimate_ms)
+        return 1 + suffered + caused
 
     def count_separated(self, job, task):
         """Counts a task that gets another worker than it would without interference."""
@@ -162,7 +165,16 @@
             if pair.faded(now) < MIN_SLOWDOWN:
                 self._forget(key, "faded")
         self._factors = {key: pair.faded(now) for key, pair in self._pairs.items()}
-        self._concerned = frozenset(kind for key in self._pairs for kind in key)
+        self._partners = {}
+        for victim, cause in self._factors:
+            self._add_partner(victim, cause)
+            self._add_partner(cause, victim)
+
+    def _add_partner(self, kind, other):
+        self._partners.setdefault(kind, {})[other] = (
+            self._factors.get((kind, other), 1.0) - 1,
+            self._factors.get((other, kind), 1.0) - 1,
+        )
 
     def _forget(self, key, reason):
         del self._pairs[key]
--- a/packages/jobs/banyanwheel_jobs/interference/presence.py
+++ b/packages/jobs/banyanwheel_jobs/interference/presence.py
@@ -32,17 +32,39 @@
 
 @dataclass(slots=True)
 class _WorkerRuns:
-    """The runs at one worker by (task, run), and (kind, start, end) of ended ones."""
+    """The runs at one worker by (task, run), and (kind, start, end) of ended ones.
+
+    ``kinds`` has the number of runs of each kind and the sum of their estimates in ms.
+    """
 
     heard_at: float
     runs: dict = field(default_factory=dict)
+    kinds: dict = field(default_factory=dict)
     ended: deque = field(default_factory=lambda: deque(maxlen=RECENT_ENDS))
 
+    def add(self, key, kind, estimate_ms):
+        """Adds a run that has been assigned."""
+        self.remove(key)
+        self.runs[key] = PlacedRun(kind, estimate_ms)
+        count, total_ms = self.kinds.get(kind, (0, 0))
+        self.kinds[kind] = (count + 1, total_ms + estimate_ms)
+
+    def remove(self, key):
+        """Removes a run, if it is known."""
+        run = self.runs.pop(key, None)
+        if run is None:
+            return
+        count, total_ms = self.kinds[run.kind]
+        if count == 1:
+            del self.kinds[run.kind]
+        else:
+            self.kinds[run.kind] = (count - 1, total_ms - run.estimate_ms)
+
     def drop_lost(self, view):
         """Drops runs that are neither listed by the last report nor on their way."""
         for key in [key for key in self.runs if key not in view.listed]:
             if key not in view.outstanding:
-                del self.runs[key]
+                self.remove(key)
 
     def kinds_at(self, key, time):
         """Returns the kinds of the other runs that ran at a time.
@@ -75,7 +97,7 @@
             self.kinds_at((end.task, end.run), run.started_at) for end, run in ended
         ]
         for key in ends:
-            del self.runs[key]
+            self.remove(key)
         self.ended.extend((run.kind, run.started_at, now) for _, run in ended)
         return [(*each, kinds) for each, kinds in zip(ended, alongside, strict=True)]
 
@@ -92,8 +114,10 @@
 
     def place(self, worker, key, kind, estimate_ms, now):
         """Records an assignment under ``key``, its (task, run)."""
-        runs = self._workers.setdefault(worker, _WorkerRuns(now)).runs
-        runs[key] = PlacedRun(kind, estimate_ms)
+        at_worker = self._workers.get(worker)
+        if at_worker is None:
+            at_worker = self._workers[worker] = _WorkerRuns(now)
+        at_worker.add(key, kind, estimate_ms)
 
     def observe(self, view, report, now):
         """Updates the runs of a worker from a report.
@@ -116,11 +140,9 @@
         return at_worker.remove_ended(known, now) if known else []
 
     def at(self, worker):
-        """Yields the kind and the estimate in ms of each run at a worker."""
+        """Returns (count, sum of estimates in ms) of the runs at a worker, by kind."""
         at_worker = self._workers.get(worker)
-        if at_worker is not None:
-            for run in at_worker.runs.values():
-                yield run.kind, run.estimate_ms
+        return {} if at_worker is None else at_worker.kinds
 
     def drop_silent(self, now):
         """Drops the workers without reports for ``SILENT_S``."""
