--- a/tests/jobs/interference/test_interference.py
+++ b/tests/jobs/interference/test_interference.py
@@ -7,6 +7,7 @@
     SAMPLES_PER_KIND,
 )
 from banyanwheel_jobs.owners import inspection
+from banyanwheel_jobs.placing.headroom import RESERVED_SHARE
 
 from .shared_workers import SharedFleet, SharedWorker
 
@@ -104,6 +105,20 @@
     assert placed(fleet, "victim") == "w0"
 
 
+def test_no_task_waits_beside_room_at_an_interfering_worker():
+    """Only what is reserved for urgent jobs stays free while tasks wait."""
+    fleet = fleet_with_pair()
+    fleet.rates = {kind: 3 * rate for kind, rate in RATES.items()}
+    reserve = RESERVED_SHARE * sum(worker.cpu for worker in fleet.workers.values())
+    short = 0
+    for _ in range(200):
+        fleet.step()
+        if any(fleet.waiting(job) for job in fleet.jobs):
+            short += 1
+            assert fleet.owner.free_cpu(fleet.now) <= reserve
+    assert short
+
+
 def test_why_and_a_counter_name_a_pair():
     fleet = fleet_with_pair()
     drained(fleet)
