Interference: a task stays where only there it ends on time

Keeping a task away from those it slows down could make it late, although it would have been on time beside them. The choice without interference is kept then. Tests for that, for the setting and for the dispatcher's gauge.

--- a/packages/jobs/banyanwheel_jobs/interference/interference.py
+++ b/packages/jobs/banyanwheel_jobs/interference/interference.py
@@ -102,21 +102,21 @@
         """Returns whether a task is of a kind that interferes with another."""
         return _kind(job, task) in self._partners
 
-    def cost_factor(self, job, task, worker):
-        """Returns the cost of a task at a worker over that without interference.
+    def slowdowns(self, job, task, worker):
+        """Returns what a task would suffer and cause at a worker.
 
-        It counts how much longer the task would take, and how much longer it would make
-        other runs take while both run, in run times of the task.
+        The first is the factor by which it would take longer; the second is how much
+        longer it would make other runs take, in run times of the task.
         """
         kind, estimate_ms = _kind(job, task), max(1, job.step_of(task).estimate_ms)
-        suffered = caused = 0.0
+        suffered, caused = 1.0, 0.0
         present = self._presence.at(worker)
         for other, (slowed, slowing) in self._partners[kind].items():
             if other in present:
                 count, total_ms = present[other]
-                suffered = max(suffered, slowed)
+                suffered = max(suffered, 1 + slowed)
                 caused += slowing * min(count, total_ms / estimate_ms)
-        return 1 + suffered + caused
+        return suffered, caused
 
     def count_separated(self, job, task):
         """Counts a task that gets another worker than it would without interference."""
--- a/packages/jobs/banyanwheel_jobs/placing/placement.py
+++ b/packages/jobs/banyanwheel_jobs/placing/placement.py
@@ -119,23 +119,28 @@
             return None
         if self._interference is None or not self._interference.concerns(job, task):
             return best
-        return self._keep_apart(job, task, step, others, used, best)
+        return self._keep_apart(job, task, others, used, best, now)
 
-    def _keep_apart(self, job, task, step, views, used, best):
+    def _keep_apart(self, job, task, views, used, best, now):
         """Returns the view with room that costs least, interference included.
 
-        ``best`` is that without it. A task that is to wait never gets here, so that
-        interference makes no task wait.
+        ``best`` is that without it, and is kept if only there the task ends on time. A
+        task that is to wait never gets here: interference makes no task wait.
         """
-        chosen = min(
-            (view for view in views if view.room_for(step.resources)),
-            key=lambda view: (
-                self._cost(step, view, used)
-                * self._interference.cost_factor(job, task, view.name)
-            ),
-        )
-        if chosen is not best:
-            self._interference.count_separated(job, task)
+        step = job.step_of(task)
+        chosen, least, own_cost = best, float("inf"), {}
+        for view in views:
+            if not view.room_for(step.resources):
+                continue
+            suffered, caused = self._interference.slowdowns(job, task, view.name)
+            cost = self._cost(step, view, used)
+            own_cost[view] = cost * suffered
+            if cost * (suffered + caused) < least:
+                chosen, least = view, cost * (suffered + caused)
+        limit = (job.on_time_until - now) / max(0.001, step.estimate_ms / 1000)
+        if chosen is best or own_cost[chosen] > limit >= own_cost[best]:
+            return best
+        self._interference.count_separated(job, task)
         return chosen
 
     def allowed(self, job, task, step, view, service):
--- a/tests/daemon/test_dispatcher.py
+++ b/tests/daemon/test_dispatcher.py
@@ -7,7 +7,13 @@
 from banyanwheel_daemon.addresses import Address
 from banyanwheel_daemon.context import Environment
 from banyanwheel_daemon.dispatcher import Dispatcher
-from banyanwheel_daemon.settings import Callers, DispatcherSettings, Log, Process
+from banyanwheel_daemon.settings import (
+    Callers,
+    DispatcherSettings,
+    Jobs,
+    Log,
+    Process,
+)
 from banyanwheel_jobs.messages import (
     ForwardedReply,
     ForwardedRequest,
@@ -39,13 +45,14 @@
         self.sent.append((address, incarnation, message))
 
 
-def new_dispatcher():
+def new_dispatcher(**jobs):
     settings = DispatcherSettings(
         process=Process(
             name="one", data_centre="dc", address=Address("127.0.0.1:7000")
         ),
         log=Log(address=Address("127.0.0.1:1"), partitions=4),
         callers=Callers(listen=ANYWHERE, ready=ANYWHERE),
+        jobs=Jobs(**jobs),
     )
     dispatcher = Dispatcher(settings, Environment(None, None))
     dispatcher._peers = PeersRecorder()
@@ -67,3 +74,17 @@
     ((address, incarnation, message),) = asyncio.run(run())
     assert (address, incarnation, type(message)) == ("b:1", "earlier", kind)
     assert message.number == 7
+
+
+@pytest.mark.parametrize("separate", [False, True])
+def test_interference_is_learned_only_where_it_is_set(separate):
+    """Without the setting there is nothing to learn from, to ask or to show."""
+
+    async def run():
+        dispatcher = new_dispatcher(separate_interfering=separate)
+        dispatcher._register_gauges()
+        return dispatcher._owner.placement.interference, dispatcher.metrics.render()
+
+    interference, metrics = asyncio.run(run())
+    assert (interference is not None) is separate
+    assert (b"banyanwheel_interference_pairs" in metrics) is separate
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -83,6 +83,11 @@
         (DISPATCHER + "[worker]\n", "role", None),
         (RUNNER.replace("partitions", "# partitions"), "log.partitions", 5),
         (RUNNER + "[jobs]\nlease_ms = 0\n", "jobs.lease_ms", 11),
+        (
+            DISPATCHER + "[jobs]\nseparate_interfering = 1\n",
+            "jobs.separate_interfering",
+            12,
+        ),
     ],
 )
 def test_a_fault_is_found_at_its_place(write, text, place, line):
--- a/tests/jobs/interference/shared_workers.py
+++ b/tests/jobs/interference/shared_workers.py
@@ -91,6 +91,7 @@
         super().__init__(*workers, interference=self.interference)
         self.rates = rates or {}
         self.submitted = dict.fromkeys(self.rates, 0)
+        self.target_ms = 60_000
         self._random = random.Random(seed)
         self._seed = seed
 
@@ -103,10 +104,10 @@
             if event == "interference:found"
         }
 
-    def submit_kind(self, kind, estimate_ms=500):
+    def submit_kind(self, kind, estimate_ms=500, slack_factor=1.6):
         number = sum(self.submitted.values())
         self.submitted[kind] = self.submitted.get(kind, 0) + 1
-        queue = Queue(kind, "desk", 0, 4, 1.6, 60_000)
+        queue = Queue(kind, "desk", 0, 4, slack_factor, self.target_ms)
         steps = (Step(1, Resources(1_000), estimate_ms),)
         job_id = f"{self._seed:04x}{number:012x}"
         submission = Submission(job_id, queue, kind, steps, round(self.now * 1000))
--- a/tests/jobs/interference/test_interference.py
+++ b/tests/jobs/interference/test_interference.py
@@ -79,9 +79,9 @@
         fleet.step()
 
 
-def placed(fleet, kind):
+def placed(fleet, kind, slack_factor=1.6):
     """Submits a job; returns the runner of its task after the next step."""
-    job = fleet.submit_kind(kind, 5_000)
+    job = fleet.submit_kind(kind, 5_000, slack_factor)
     fleet.step()
     return fleet.tasks(job)[0].runner
 
@@ -96,6 +96,16 @@
         assert fleet.events.counts["banyanwheel.interference.separated", f"{second}.0"]
 
 
+def test_a_task_is_not_kept_apart_if_only_the_interfering_worker_is_in_time():
+    """The cause itself is not slowed down; at the next worker it takes 0.7 x 5 s."""
+    for slack_factor, runner in ((0.6, "w0"), (0.8, "w1")):
+        fleet = fleet_with_pair()
+        drained(fleet)
+        fleet.target_ms = 0
+        assert placed(fleet, "victim") == "w0"
+        assert placed(fleet, "cause", slack_factor) == runner
+
+
 def test_interfering_tasks_share_a_worker_at_once_where_there_is_no_other_room():
     fleet = fleet_with_pair()
     drained(fleet)
