Interference: leave out single workers only for what would be found

The median without each single worker was taken for every pair of kinds in each estimate, also where the lower bound was too low already. It is taken only where it can change the answer.

--- a/packages/jobs/banyanwheel_jobs/interference/pairs.py
+++ b/packages/jobs/banyanwheel_jobs/interference/pairs.py
@@ -101,9 +101,9 @@
     deviation = max(MIN_DEVIATION, MAD_TO_DEVIATION * median(deviations))
     error = MEDIAN_ERROR_FACTOR * deviation * sqrt(variance) / runs
     log_slowdown = _median_of(differences)
-    lower_bound = min(
-        log_slowdown - STANDARD_ERRORS * error, _least_without_one(differences)
-    )
+    lower_bound = log_slowdown - STANDARD_ERRORS * error
+    if lower_bound >= log(MIN_SLOWDOWN):
+        lower_bound = min(lower_bound, _least_without_one(differences))
     return Estimate(log_slowdown, lower_bound, runs)
 
 
