--- a/packages/daemon/banyanwheel_daemon/settings.py
+++ b/packages/daemon/banyanwheel_daemon/settings.py
@@ -89,13 +89,15 @@
     ``lease_ms`` is the duration of a runner's lease, ``retention_s`` how long ended
     jobs are kept, and ``remote_rack_factor`` the cost factor of a remote rack in
     placement. Evacuations are in force within ``evacuation_ms``; without it none is
-    followed.
+    followed. With ``separate_interfering`` a dispatcher detects tasks that slow each
+    other down on one worker, and keeps them apart where there is room.
     """
 
     lease_ms: PositiveInt = 1_000
     retention_s: PositiveFloat = 120.0
     remote_rack_factor: PositiveFloat = 1.5
     evacuation_ms: PositiveInt | None = None
+    separate_interfering: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/jobs/banyanwheel_jobs/placing/placement.py
+++ b/packages/jobs/banyanwheel_jobs/placing/placement.py
@@ -78,11 +78,20 @@
 
 
 class Placement:
-    """Chooses the runner at which a task is expected to end first."""
+    """Chooses the runner at which a task is expected to end first.
 
-    def __init__(self, data_centre, remote_rack_factor):
+    With an :class:`Interference`, tasks that slow each other down are kept apart.
+    """
+
+    def __init__(self, data_centre, remote_rack_factor, interference=None):
         self._data_centre = data_centre
         self._remote_rack_factor = remote_rack_factor
+        self._interference = interference
+
+    @property
+    def interference(self):
+        """What is learned about interfering tasks, None if that is switched off."""
+        return self._interference
 
     def choose(self, job, task, views, used, now, *, any_runner=False):
         """Returns the best of ``views`` with enough room, or None to wait.
@@ -109,9 +118,35 @@
             fastest = min(fastest, cost)
             if cost < least and view.room_for(step.resources):
                 best, least = view, cost
-        if best is None or any_runner:
+        if best is None:
+            return None
+        if not any_runner and _worth_waiting(job, step, least, fastest, now):
+            return None
+        if self._interference is None or not self._interference.concerns(job, task):
+            return best
+        return self._keep_apart(job, task, others, used, best, now)
+
+    def _keep_apart(self, job, task, views, used, best, now):
+        """Returns the view with room that costs least, interference included.
+
+        ``best`` is that without it, and is kept if only there the task ends on time. A
+        task that is to wait never gets here: interference makes no task wait.
+        """
+        step = job.step_of(task)
+        chosen, least, own_cost = best, float("inf"), {}
+        for view in views:
+            if not view.room_for(step.resources):
+                continue
+            suffered, caused = self._interference.slowdowns(job, task, view.name)
+            cost = self._cost(step, view, used)
+            own_cost[view] = cost * suffered
+            if cost * (suffered + caused) < least:
+                chosen, least = view, cost * (suffered + caused)
+        limit = (job.on_time_until - now) / max(0.001, step.estimate_ms / 1000)
+        if chosen is best or own_cost[chosen] > limit >= own_cost[best]:
             return best
-        return None if _worth_waiting(job, step, least, fastest, now) else best
+        self._interference.count_separated(job, task)
+        return chosen
 
     def allowed(self, job, task, step, view, service):
         """Tells whether a worker may run a task, regardless of its free room."""
--- a/tests/daemon/test_dispatcher.py
+++ b/tests/daemon/test_dispatcher.py
@@ -50,14 +50,14 @@
         self.sent.append((address, incarnation, message))
 
 
-def new_dispatcher(evacuation_ms=None):
+def new_dispatcher(**jobs):
     settings = DispatcherSettings(
         process=Process(
             name="one", data_centre="dc", address=Address("127.0.0.1:7000")
         ),
         log=Log(address=Address("127.0.0.1:1"), partitions=4),
         callers=Callers(listen=ANYWHERE, ready=ANYWHERE),
-        jobs=Jobs(evacuation_ms=evacuation_ms),
+        jobs=Jobs(**jobs),
     )
     dispatcher = Dispatcher(settings, Environment(None, None))
     dispatcher._peers = PeersRecorder()
@@ -83,14 +83,14 @@
 
 @pytest.mark.parametrize("evacuation_ms", [None, 5_000])
 def test_a_dispatcher_follows_evacuations_only_with_the_setting(evacuation_ms):
-    dispatcher = new_dispatcher(evacuation_ms)
+    dispatcher = new_dispatcher(evacuation_ms=evacuation_ms)
     follows = evacuation_ms is not None
     assert dispatcher._owner.evacuations.covers("dc") is follows
     assert (dispatcher._evacuation_reader in dispatcher._feed._readers) is follows
 
 
 def test_an_evacuation_reaches_the_views_and_an_unmatched_one_is_logged_once():
-    dispatcher = new_dispatcher(5_000)
+    dispatcher = new_dispatcher(evacuation_ms=5_000)
     events = dispatcher._evacuation_reader._event_log = EventRecorder()
     view = dispatcher._views["r:1"] = RunnerView("r:1", "dc-1")
     reader = dispatcher._evacuation_reader
@@ -104,3 +104,17 @@
         dispatcher._members_changed()
     unmatched = [f for name, f in events.events if name.endswith("no-such-data-centre")]
     assert unmatched == [{"data_centre": "dc-9"}]
+
+
+@pytest.mark.parametrize("separate", [False, True])
+def test_interference_is_learned_only_where_it_is_set(separate):
+    """Without the setting there is nothing to learn from, to ask or to show."""
+
+    async def run():
+        dispatcher = new_dispatcher(separate_interfering=separate)
+        dispatcher._register_gauges()
+        return dispatcher._owner.placement.interference, dispatcher.metrics.render()
+
+    interference, metrics = asyncio.run(run())
+    assert (interference is not None) is separate
+    assert (b"banyanwheel_interference_pairs" in metrics) is separate
