--- a/packages/daemon/banyanwheel_daemon/dispatcher.py
+++ b/packages/daemon/banyanwheel_daemon/dispatcher.py
@@ -29,6 +29,7 @@
 from .clocks import boot_time, wall_ms
 from .configuration_feed import ConfigurationFeed, EvacuationReader
 from .contacts import Contacts
+from .gauges import register_gauges
 from .members import Member, Members
 from .ownership import Ownership
 from .peers import Peers
@@ -207,24 +208,9 @@
         await self._members.follow(self._members_changed)
 
     def _register_gauges(self):
-        owner, gateway = self._owner, self._gateway
-        gauge = self.metrics.gauge
-        gauge("banyanwheel.configuration.version", lambda: gateway.version)
-        gauge("banyanwheel.evacuations", lambda: len(owner.evacuations.names))
-        gauge("banyanwheel.partitions", lambda: len(owner.partitions))
-        gauge("banyanwheel.jobs.transient", lambda: len(owner.transient.jobs))
-        gauge("banyanwheel.jobs.pending", lambda: sum(owner.pending.values()))
-        gauge(
-            "banyanwheel.waiting.core_seconds",
-            lambda: sum(owner.waiting_cpu_ms.values()) / 1_000_000,
+        register_gauges(
+            self.metrics.gauge, self._owner, self._gateway, self._held_bytes, boot_time
         )
-        gauge("banyanwheel.jobs.bytes", self._held_bytes)
-        gauge("banyanwheel.requests.open", lambda: gateway.open_requests)
-        gauge("banyanwheel.runners.usable", lambda: owner.usable_runners(boot_time()))
-        gauge("banyanwheel.room.free.millicores", lambda: owner.free_cpu(boot_time()))
-        interference = owner.placement.interference
-        if interference is not None:
-            gauge("banyanwheel.interference.pairs", lambda: len(interference.pairs))
 
     async def _stop(self):
         started = boot_time()
--- a/packages/jobs/banyanwheel_jobs/owners/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owners/owner.py
@@ -11,7 +11,6 @@
 from functools import partial
 
 from ..authority import replacement_delay_s
-from ..cells.placers import offers_of, suits
 from ..durations.durations import Durations
 from ..evacuation import Evacuations
 from ..messages import StopTasks, TaskRun
@@ -27,6 +26,7 @@
 from .partition import Partition, PendingSubmission
 from .progress_handling import ProgressHandling
 from .report_handling import ReportHandling
+from .runner_needs import RunnerNeeds
 from .stragglers import PromisedRoom
 from .supervision import Supervision
 from .transient import TransientJobs
@@ -35,8 +35,6 @@
 __all__ = ["Owner"]
 
 RETENTION_MARGIN_S = 30.0
-UNPLACEABLE_AFTER_S = 0.3  # a job waits this long before more runners are contacted
-ROOM_WAIT_S = 1.0  # a stored job waits this long for room in its owner's cells
 
 
 class Owner(
@@ -46,6 +44,7 @@
     Dispatching,
     Supervision,
     Evacuating,
+    RunnerNeeds,
 ):
     """The jobs of the owned partitions, and the runners that run their tasks."""
 
@@ -381,42 +380,6 @@
         """
         return self._waiting.work_by_service
 
-    def needs_all_runners(self, now):
-        """Returns whether the known runners may not be enough.
-
-        That is so while runs of a former owner are searched for, and while a job waits
-        that no usable runner of the own cells may run.
-        """
-        if any(each.recovering for each in self._partitions.values()):
-            return True
-        if not self.evacuations.known:
-            return False
-        waiting = [
-            job
-            for job in self._waiting.samples
-            if now - job.received_at > UNPLACEABLE_AFTER_S
-        ]
-        if not waiting:
-            return False
-        views = [view for view in self._views.values() if not view.borrowed]
-        offers = offers_of(views, now)
-        return any(not suits(offers, job.submission) for job in waiting)
-
-    def waiting_for_room(self, now):
-        """Returns the submissions of stored jobs that have waited for ``ROOM_WAIT_S``.
-
-        Of those with the same service and labels, one is returned.
-        """
-        waiting = {}
-        for job in self._waiting.active:
-            submission = job.submission
-            if submission.transient or now - job.received_at <= ROOM_WAIT_S:
-                continue
-            kind = (submission.queue.service, submission.labels)
-            if kind not in waiting and any(job.startable(now)):
-                waiting[kind] = submission
-        return list(waiting.values())
-
     def find(self, number, task_id):
         """Returns partition, job and task, each None if this owner does not know it."""
         partition = self._partition(number)
--- a/packages/jobs/banyanwheel_jobs/placing/placement.py
+++ b/packages/jobs/banyanwheel_jobs/placing/placement.py
@@ -133,12 +133,13 @@
         task that is to wait never gets here: interference makes no task wait.
         """
         step = job.step_of(task)
+        kind = Kind.from_task(job, task)
         chosen, least, own_cost = best, float("inf"), {}
         for view in views:
             if not view.room_for(step.resources):
                 continue
             suffered, caused = self._interference.slowdowns(job, task, view.name)
-            cost = self._cost(step, view, used)
+            cost = self._cost(step, view, used, kind)
             own_cost[view] = cost * suffered
             if cost * (suffered + caused) < least:
                 chosen, least = view, cost * (suffered + caused)
