Read a bounded number of chunks in one turn of the loop

Cause: tornado reads up to 256 chunks of each connection in one turn. A crowd of 600 connections with 32 KB in one-byte chunks held the loop for seconds: heartbeats came late, and the readiness probe was told 503.

Change: 256 chunks a turn for each server; other connections wait for the next turns, first come first served. memory_mb may be a fraction.

--- a/packages/daemon/banyanwheel_daemon/settings.py
+++ b/packages/daemon/banyanwheel_daemon/settings.py
@@ -51,7 +51,7 @@
     grace_s: PositiveFloat = 6.0
     processor_share: PositiveFloat = 1.0
     processor_speed: PositiveFloat = 1.0
-    memory_mb: PositiveInt | None = None
+    memory_mb: PositiveFloat | None = None
     max_descriptors: PositiveInt | None = None
 
     @property
--- a/tests/platform/test_http_server.py
+++ b/tests/platform/test_http_server.py
@@ -6,7 +6,7 @@
 import pytest
 
 from banyanwheel_platform.http import answer
-from banyanwheel_platform.http_server import HttpServer
+from banyanwheel_platform.http_server import CHUNKS_PER_TURN, ChunkTurns, HttpServer
 from banyanwheel_platform.request_budget import (
     CONNECTION_BYTES,
     MachineLimits,
@@ -162,3 +162,34 @@
             writer.close()
 
     play(scenario)
+
+
+def test_small_chunks_take_turns_and_lose_nothing(play):
+    async def scenario(world):
+        chunks = 3 * CHUNKS_PER_TURN
+        head = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+        request = head + b"1\r\nx\r\n" * chunks + b"0\r\n\r\n"
+        clients = [await world.send(request) for _ in range(3)]
+        await world.wait_for(lambda: len(world.requests) == 3)
+        assert {request.body for request in world.requests} == {b"x" * chunks}
+        for _, writer in clients:
+            writer.close()
+
+    play(scenario)
+
+
+def test_a_bounded_number_of_chunks_is_read_in_one_turn_of_the_loop():
+    """A crowd that sent small ones stopped heartbeats and probes for seconds."""
+
+    async def run():
+        turns = ChunkTurns()
+        taken = [turns.take() for _ in range(3 * CHUNKS_PER_TURN)]
+        waiting = [turn for turn in taken if turn is not None]
+        counts = []
+        for _ in range(3):
+            counts.append(sum(turn.done() for turn in waiting))
+            await asyncio.sleep(0)
+        assert turns.take() is not None
+        return counts
+
+    assert asyncio.run(run()) == [0, CHUNKS_PER_TURN, 2 * CHUNKS_PER_TURN]
