Shares: the order is kept between rounds; a place kept holds while the job can be late

Cause: each round sorted all waiting jobs. A job whose caller returned as told goes first until it no longer counts and leaves no room to others.

--- a/packages/jobs/banyanwheel_jobs/owners/dispatching.py
+++ b/packages/jobs/banyanwheel_jobs/owners/dispatching.py
@@ -41,30 +41,42 @@
             return
         room = Room(usable, now)
         self._waiting.unpark_possible(room)
-        jobs = self._waiting.active
-        least_cpu = min((job.min_task_cpu for job in jobs), default=0)
+        order = self._update_order(room, now)
         largest_cpu = room.largest_cpu
-        if largest_cpu < least_cpu:
+        if largest_cpu < order.least_cpu:
             return
-        for job in self._in_order(jobs, room, now):
-            if largest_cpu >= job.min_task_cpu and self._place_job(job, room, now):
+        waiting = self._waiting.active
+        for job in order:
+            if job not in waiting or largest_cpu < job.min_task_cpu:
+                continue
+            if self._place_job(job, room, now):
+                self._waiting.reorder(job)
                 largest_cpu = room.largest_cpu
-                if largest_cpu < least_cpu:
+                if largest_cpu < order.least_cpu:
                     return
 
-    def _in_order(self, jobs, room, now):
-        """Returns the jobs in the order in which they get room.
+    def _update_order(self, room, now):
+        """Returns the order in which the waiting jobs get room.
 
         Jobs of different services don't compete, so that each service's order counts
         only among its own jobs.
         """
 
+        short = {
+            service for service in self.shares.services if room.pool(service, "").busy
+        }
+
         def key(job):
-            if room.pool(job.submission.queue.service, "").busy:
+            if job.submission.queue.service in short:
                 return self.shares.precedence(job, now)
             return rank(job, now)
 
-        return sorted(jobs, key=key)
+        added = self._waiting.take_added()
+        if self._order.is_due(short, now):
+            self._order.rebuild(self._waiting.active, key, short, now)
+        else:
+            self._order.add(added, key)
+        return self._order
 
     def _usable_views(self, now):
         return [
--- a/packages/jobs/banyanwheel_jobs/owners/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owners/owner.py
@@ -18,6 +18,7 @@
 from ..records import Accepted, Ended, encode, job_key, progress_key
 from ..shares.return_places import ReturnPlaces
 from ..shares.shares import Shares
+from ..shares.waiting_order import WaitingOrder
 from .dispatching import Dispatching
 from .drains import Drains
 from .job import Job
@@ -65,6 +66,7 @@
         self._canceled = OrderedDict()  # ids of transient jobs that callers canceled
         self._refused = OrderedDict()  # reasons by id of transient jobs
         self._return_places = ReturnPlaces()
+        self._order = WaitingOrder()
         self.drains = Drains()
         self.shares = Shares()
 
--- a/packages/jobs/banyanwheel_jobs/owners/waiting.py
+++ b/packages/jobs/banyanwheel_jobs/owners/waiting.py
@@ -12,6 +12,7 @@
 
     def __init__(self):
         self._active = set()
+        self._added = []  # since they were last taken
         self._parked = {}  # sets of jobs by their needs
         self._needs = {}  # by parked job
         self._supply = frozenset()  # of workers, when the parked jobs were last checked
@@ -33,6 +34,17 @@
         """Adds a job, or has a parked one tried again."""
         self._unpark(job)
         self._active.add(job)
+        self._added.append(job)
+
+    def reorder(self, job):
+        """Has the place of a job found anew, if it still waits."""
+        if job in self._active:
+            self._added.append(job)
+
+    def take_added(self):
+        """Returns the jobs that were added since the last call."""
+        added, self._added = self._added, []
+        return added
 
     def update(self, jobs):
         """Adds several jobs."""
--- a/packages/jobs/banyanwheel_jobs/shares/shares.py
+++ b/packages/jobs/banyanwheel_jobs/shares/shares.py
@@ -92,8 +92,8 @@
             )
         waited_s = now - job.received_at
         density = entry.worth.density(waited_s, job.waiting_work_cpu_s)
-        first = entry.worth.probably_on_time(waited_s) and (
-            entry.returns or self._is_below_floor(job, entry)
+        first = entry.returns or (
+            entry.worth.probably_on_time(waited_s) and self._is_below_floor(job, entry)
         )
         tier = FIRST_TIER if first else NORMAL_TIER
         return Precedence(tier, -density, job.submission.queue.priority)
@@ -108,6 +108,7 @@
         entry = self._entries.get(job)
         return (
             entry is not None
+            and not entry.returns
             and job.partition == TRANSIENT_PARTITION
             and self._account(job).short
             and not job.may_have_begun
--- a/tests/jobs/shares/test_shares.py
+++ b/tests/jobs/shares/test_shares.py
@@ -21,6 +21,7 @@
 from banyanwheel_jobs.shares.forecast import hopeless_jobs
 from banyanwheel_jobs.shares.return_places import KEPT_S, MAX_PLACES, ReturnPlaces
 from banyanwheel_jobs.shares.shares import FIRST_TIER, NORMAL_TIER, Shares
+from banyanwheel_jobs.shares.waiting_order import REBUILD_S, WaitingOrder
 
 NOW = 100.0
 CAPACITY = 8_000
@@ -158,3 +159,16 @@
             left -= len(each.tasks[0])
     whole = mean(map(mean, served.values()))
     assert all(mean(each) >= FLOOR_SHARE * whole for each in served.values())
+
+
+def test_the_order_is_kept_between_rounds():
+    """Sorting at each round would make its cost grow with the jobs that wait."""
+    keys = {job(number): number for number in range(3)}
+    order, added = WaitingOrder(), job(5)
+    assert order.is_due(set(), NOW)
+    order.rebuild(keys, keys.get, set(), NOW)
+    order.add([added], lambda each: 0.5)
+    assert [each.id[-1] for each in order] == ["0", "5", "1", "2"]
+    assert not order.is_due(set(), NOW + REBUILD_S / 2)
+    assert order.is_due({"desk"}, NOW + REBUILD_S / 2)
+    assert order.is_due(set(), NOW + 2 * REBUILD_S)
