--- a/tests/jobs/owners/hard_load.py
+++ b/tests/jobs/owners/hard_load.py
@@ -7,6 +7,7 @@
 
 import math
 import sys
+from dataclasses import replace
 from statistics import mean
 
 from banyanwheel_jobs.owners.job import LATE_FACTOR
@@ -88,15 +89,22 @@
     return by_width[:usual], by_width[usual:wide], by_width[wide:]
 
 
-def play_hard_load(demand, seconds=SECONDS, **arguments):
-    """Plays the page's load at ``demand`` times the workers' room."""
+def play_hard_load(demand, seconds=SECONDS, changes=None, **arguments):
+    """Plays the page's load at ``demand`` times the workers' room.
+
+    ``changes`` are fields of kinds, by the kind's name, that differ from the page.
+    """
     room = sum(speed * cpu for speed, cpu in zip(SPEEDS, CPU, strict=True))
     load = sum(
         kind.per_second * kind.tasks * kind.run_ms * kind.cpu / 1000 for kind in KINDS
     )
     factor = demand * room / (load / SPREAD_FACTOR**2)
     kinds = [
-        Kind(**{**_fields(kind), "per_second": kind.per_second * factor})
+        replace(
+            kind,
+            per_second=kind.per_second * factor,
+            **(changes or {}).get(kind.name, {}),
+        )
         for kind in KINDS
     ]
     world = OverloadWorld(
@@ -106,10 +114,6 @@
     return world
 
 
-def _fields(kind):
-    return {name: getattr(kind, name) for name in kind.__dataclass_fields__}
-
-
 BURSTS = {
     "long": [("long", 3, 9, 2.35)],
     "short": [("short", 3, 8, 1.65)],
--- a/tests/jobs/owners/overload_calls.py
+++ b/tests/jobs/owners/overload_calls.py
@@ -23,6 +23,8 @@
     priority: int = 0
     weight: float = 1.0  # of a job of mean work that is on time
     max_tasks: int = 1_000
+    rack: str = ""  # preferred by ``rack_share`` of the jobs
+    rack_share: float = 0.0
 
     @property
     def queue(self):
--- a/tests/jobs/owners/overload_world.py
+++ b/tests/jobs/owners/overload_world.py
@@ -38,6 +38,8 @@
 DELAY_S = 0.002  # of a message
 TICK_S = 0.05
 HEARTBEAT_S = 0.2
+REMOTE_RACK_FACTOR = 1.5  # on run times of tasks away from the rack with their data
+RACKS = 4
 SETTLE_S = 15.0  # after the last arrival
 RUN_SPREAD = 0.4  # of the logarithm of a job's run time, among those of a kind
 ESTIMATE_SPREAD = 0.4  # of the logarithm of the submitter's estimate
@@ -51,6 +53,7 @@
     speed: float
     free: int
     capacity: int
+    rack: str
     accepting: bool = True
     runs: dict = field(default_factory=dict)  # _Run by (task, run)
     waiting: list = field(default_factory=list)  # of _Run
@@ -111,7 +114,7 @@
         self._until = self.now + seconds
         sizes = [cpu] * len(speeds) if isinstance(cpu, int) else cpu
         self._workers = [
-            _Worker(f"worker-{number:02}", speed, size, size)
+            _Worker(f"worker-{number:02}", speed, size, size, f"rack-{number % RACKS}")
             for number, (speed, size) in enumerate(zip(speeds, sizes, strict=True))
         ]
         self.owners = [self._build_owner(number) for number in range(len(shares))]
@@ -132,7 +135,7 @@
 
         owner = Owner(
             1,
-            Placement("dc", 1.5),
+            Placement("dc", REMOTE_RACK_FACTOR),
             retention_s=60,
             wall_ms=lambda: round(self.now * 1000),
             send=send,
@@ -205,11 +208,13 @@
         run_ms = kind.run_ms * numbers.lognormvariate(0, RUN_SPREAD)
         off = numbers.lognormvariate(0, ESTIMATE_SPREAD)
         estimate = max(1, round(run_ms * off))
+        near = kind.rack and numbers.random() < kind.rack_share
+        rack = kind.rack if near else ""
         submission = Submission(
             f"{len(self.calls):016x}",
             kind.queue,
             "",
-            (Step(width, Resources(kind.cpu), estimate),),
+            (Step(width, Resources(kind.cpu), estimate, rack=rack),),
             0,
             transient=True,
         )
@@ -269,7 +274,9 @@
             # The same for each run of a task, whatever ran before.
             numbers = random.Random(f"{self._seed}/{run.assignment.task}")
             off = numbers.lognormvariate(0, TASK_SPREAD)
-            seconds = call.run_s * off / worker.speed
+            rack = call.submission.steps[0].rack
+            far = REMOTE_RACK_FACTOR if rack and rack != worker.rack else 1.0
+            seconds = call.run_s * off * far / worker.speed
             run.began_at, run.ends_at = self.now, self.now + seconds
             worker.runs[run.key] = run
             self.begun.add(run.assignment.task.job)
@@ -327,7 +334,7 @@
             worker.accepting,
             Resources(worker.capacity),
             Resources(worker.free - waiting),
-            (),
+            (worker.rack,),
             1 / worker.speed,
         )
         report = Report(round(self.now * 1000), True, status, (), runs, ends)
--- a/tests/jobs/shares/test_under_load.py
+++ b/tests/jobs/shares/test_under_load.py
@@ -14,16 +14,26 @@
 MIN_JOBS = 10  # in fewer, one job more or less decides
 BURST = (3.0, 8.0)
 QUARTER_LOST = {1: 4.0, 4: 4.0, 9: 4.0}
+SHORT_BURST = ("short", *BURST, 1.8)
+LONG_BURST = ("long", *BURST, 2.6)
 BURSTS = {
-    "long": [("long", *BURST, 2.6)],
-    "short": [("short", *BURST, 1.8)],
-    "all": [("long", *BURST, 2.6), ("short", *BURST, 1.8)],
+    "long": {"surges": [LONG_BURST]},
+    "urgent": {"surges": [SHORT_BURST]},
+    "wide": {"surges": [SHORT_BURST], "changes": {"short": {"tasks": 12}}},
+    "rack": {
+        "surges": [SHORT_BURST, LONG_BURST],
+        "changes": {"short": {"rack": "rack-0", "rack_share": 0.75}},
+    },
 }
+CASES = [(name, losses) for name in BURSTS for losses in ({}, QUARTER_LOST)]
 
 
-@pytest.fixture(scope="module", params=[*BURSTS])
+@pytest.fixture(
+    scope="module", params=CASES, ids=lambda case: case[0] + "-lost" * bool(case[1])
+)
 def burst(request):
-    return play_hard_load(0.75, surges=BURSTS[request.param], losses=QUARTER_LOST)
+    name, losses = request.param
+    return play_hard_load(0.75, losses=losses, **BURSTS[name])
 
 
 def done_share(calls):
