Shares: room is short from 3/4 of the capacity on; the longest task counts 1.25 times

Cause: with demand between 3/4 and the whole capacity, jobs that could not be on time any more took the room of those that could. Change: SHORT_SHARE 0.75 in place of 1, LONGEST_TASK_FACTOR 1.25 in place of 1.1. Run: tests/jobs/shares, tests/jobs/owners: passed.

--- a/packages/jobs/banyanwheel_jobs/shares/account.py
+++ b/packages/jobs/banyanwheel_jobs/shares/account.py
@@ -14,7 +14,9 @@
 # The effect of going first shows in the account only when jobs have ended, so that a
 # class goes first before it has reached its floor.
 LEAD = 1.2
-SHORT_SHARE = 1.0  # of the capacity; room is short once the demand exceeds it
+# Room is short once the demand exceeds this share of the capacity. Above it, bursts of
+# a few wide or long jobs take all room for moments, and estimates may be too low.
+SHORT_SHARE = 0.75
 
 
 @dataclass(slots=True)
--- a/packages/jobs/banyanwheel_jobs/shares/worth.py
+++ b/packages/jobs/banyanwheel_jobs/shares/worth.py
@@ -9,8 +9,9 @@
 LATE_WORTH = 0.2  # of a late job; callers count it one fifth
 # A job counts partly by itself and partly by its work relative to its queue's mean.
 FIXED_PART = 0.3
-# The longest of a job's tasks takes about this multiple of a typical one.
-LONGEST_TASK_FACTOR = 1.1
+# The longest of a job's tasks takes about this multiple of a typical one: of 8 tasks
+# whose logarithms have a standard deviation of 0.15, the mean of the longest.
+LONGEST_TASK_FACTOR = 1.25
 # Steepness of the chance to end in time over the time waited: the logistic curve of an
 # estimate whose logarithm has a standard deviation of 0.4 (1.7 / 0.4).
 STEEPNESS = 4.0
