--- a/packages/jobs/banyanwheel_jobs/owners/inspection.py
+++ b/packages/jobs/banyanwheel_jobs/owners/inspection.py
@@ -15,8 +15,8 @@
 ]
 
 LEAVES_ROOM = (
-    "more work arrives than the workers can do, and it is unlikely to be on time: it "
-    "leaves half of the room to other jobs"
+    "room is short and it is unlikely to be on time: it leaves half of the room to "
+    "jobs that can be"
 )
 
 
--- a/packages/jobs/banyanwheel_jobs/shares/account.py
+++ b/packages/jobs/banyanwheel_jobs/shares/account.py
@@ -111,7 +111,7 @@
     def __init__(self):
         self.queues = {}
         self.below_floor = frozenset()  # (queue's name, width class) pairs
-        self.short = False  # whether more work arrives than the workers can do
+        self.short = False  # whether work for most of the capacity arrives
         self._decayed_at = None
 
     @property
--- a/packages/jobs/banyanwheel_jobs/shares/shares.py
+++ b/packages/jobs/banyanwheel_jobs/shares/shares.py
@@ -102,7 +102,7 @@
         """Returns whether a job leaves the room to others while it is short.
 
         That is so for a transient job that has not begun and is unlikely to be on time,
-        while more work arrives than the workers can do: the jobs that arrive while it
+        while room is short: the jobs that arrive while it
         runs are worth more.
         """
         entry = self._entries.get(job)
