--- a/packages/jobs/banyanwheel_jobs/owners/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owners/owner.py
@@ -255,7 +255,10 @@
         job.ending = state = job.state_after(event)
         job.reason = reason
         self._waiting.discard(job)
-        self.shares.settle(job, served=state is JobState.COMPLETED)
+        if state is JobState.CANCELED:
+            self.shares.forget(job)
+        else:
+            self.shares.settle(job, served=state is JobState.COMPLETED)
         ended = Ended(
             state,
             self._wall_ms(),
