--- a/packages/jobs/banyanwheel_jobs/owners/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owners/owner.py
@@ -19,6 +19,7 @@
 from ..records import Accepted, Ended, encode, job_key, progress_key
 from ..shares.return_places import ReturnPlaces
 from ..shares.shares import Shares
+from ..shares.waiting_order import WaitingOrder
 from .dispatching import Dispatching
 from .drains import Drains
 from .evacuating import Evacuating
@@ -78,6 +79,7 @@
         self._canceled = OrderedDict()  # ids of transient jobs that callers canceled
         self._refused = OrderedDict()  # reasons by id of transient jobs
         self._return_places = ReturnPlaces()
+        self._order = WaitingOrder()
         self.drains = Drains()
         self.evacuations = Evacuations.not_followed()
         self._evacuation_checked_at = float("-inf")
@@ -279,7 +281,10 @@
         job.ending = state = job.state_after(event)
         job.reason = reason
         self._waiting.discard(job)
-        self.shares.settle(job, served=state is JobState.COMPLETED)
+        if state is JobState.CANCELED:
+            self.shares.forget(job)
+        else:
+            self.shares.settle(job, served=state is JobState.COMPLETED)
         ended = Ended(
             state,
             self._wall_ms(),
--- a/packages/jobs/banyanwheel_jobs/owners/waiting.py
+++ b/packages/jobs/banyanwheel_jobs/owners/waiting.py
@@ -14,6 +14,7 @@
         self._active = set()
         self._work = {}  # in thousandths of a core x ms, by active job
         self._work_by_service = {}
+        self._added = []  # since they were last taken
         self._parked = {}  # sets of jobs by their needs
         self._needs = {}  # by parked job
         self._supply = frozenset()  # of workers, when the parked jobs were last checked
@@ -45,6 +46,7 @@
         self._unpark(job)
         self._active.add(job)
         self.recount(job)
+        self._added.append(job)
 
     def recount(self, job):
         """Counts the waiting work of an active job anew, after tasks were placed."""
@@ -62,6 +64,16 @@
         else:
             self._work_by_service.pop(service, None)
 
+    def reorder(self, job):
+        """Has the place of a job found anew, if it still waits."""
+        if job in self._active:
+            self._added.append(job)
+
+    def take_added(self):
+        """Returns the jobs that were added since the last call."""
+        added, self._added = self._added, []
+        return added
+
     def update(self, jobs):
         """Adds several jobs."""
         for job in jobs:
--- a/tests/jobs/owners/overload_world.py
+++ b/tests/jobs/owners/overload_world.py
@@ -39,6 +39,8 @@
 DELAY_S = 0.002  # of a message
 TICK_S = 0.05
 HEARTBEAT_S = 0.2
+REMOTE_RACK_FACTOR = 1.5  # on run times of tasks away from the rack with their data
+RACKS = 4
 SETTLE_S = 15.0  # after the last arrival
 RUN_SPREAD = 0.4  # of the logarithm of a job's run time, among those of a kind
 ESTIMATE_SPREAD = 0.4  # of the logarithm of the submitter's estimate
@@ -53,6 +55,7 @@
     slowness: float  # as reported
     free: int
     capacity: int
+    rack: str
     accepting: bool = True
     runs: dict = field(default_factory=dict)  # _Run by (task, run)
     waiting: list = field(default_factory=list)  # of _Run
@@ -113,7 +116,14 @@
         self._until = self.now + seconds
         sizes = [cpu] * len(speeds) if isinstance(cpu, int) else cpu
         self._workers = [
-            _Worker(f"worker-{number:02}", speed, 1 / speed, size, size)
+            _Worker(
+                f"worker-{number:02}",
+                speed,
+                1 / speed,
+                size,
+                size,
+                f"rack-{number % RACKS}",
+            )
             for number, (speed, size) in enumerate(zip(speeds, sizes, strict=True))
         ]
         self.owners = [self._build_owner(number) for number in range(len(shares))]
@@ -134,7 +144,7 @@
 
         owner = Owner(
             1,
-            Placement("dc", 1.5),
+            Placement("dc", REMOTE_RACK_FACTOR),
             retention_s=60,
             wall_ms=lambda: round(self.now * 1000),
             send=send,
@@ -204,12 +214,15 @@
             kind.max_tasks, max(1, round(kind.tasks * numbers.lognormvariate(0, 0.4)))
         )
         run_ms = kind.run_ms * numbers.lognormvariate(0, RUN_SPREAD)
-        estimate = max(1, round(run_ms * numbers.lognormvariate(0, ESTIMATE_SPREAD)))
+        off = numbers.lognormvariate(0, ESTIMATE_SPREAD)
+        estimate = max(1, round(run_ms * off))
+        near = kind.rack and numbers.random() < kind.rack_share
+        rack = kind.rack if near else ""
         submission = Submission(
             f"{len(self.calls):016x}",
             kind.queue,
             "",
-            (Step(width, Resources(kind.cpu), estimate),),
+            (Step(width, Resources(kind.cpu), estimate, rack=rack),),
             0,
             transient=True,
         )
@@ -278,8 +291,11 @@
 
     def _run_s(self, worker, task):
         """Returns a task's run time at a worker, the same whatever ran before."""
+        call = self.calls[int(task.job, 16)]
         off = random.Random(f"{self._seed}/{task}").lognormvariate(0, TASK_SPREAD)
-        return self.calls[int(task.job, 16)].run_s * off / worker.speed
+        rack = call.submission.steps[0].rack
+        far = REMOTE_RACK_FACTOR if rack and rack != worker.rack else 1.0
+        return call.run_s * off * far / worker.speed
 
     def _stop(self, worker, message):
         stopped = {(item.task, item.run) for item in message.runs}
@@ -333,7 +349,7 @@
             worker.accepting,
             Resources(worker.capacity),
             Resources(worker.free - waiting),
-            (),
+            (worker.rack,),
             worker.slowness,
         )
         owner, view = self.owners[placer], self.owners[placer].views[worker.name]
