Rehearsal of a job on a copy of an owner's state

Operators could ask why a job waits, but not where one would go. The owner's own code now runs on a copy whose messages and log lines go nowhere; the choice of a placer also tells its rule. Copies cover views, paces, shares, kept places and interference.

--- a/packages/client/banyanwheel_client/cli/app.py
+++ b/packages/client/banyanwheel_client/cli/app.py
@@ -7,6 +7,7 @@
 from banyanwheel_core.documents import ConfigurationDocument, JobDocument
 from banyanwheel_core.language import Reconfigure, Submit, parse
 
+from ..client import Where
 from ..errors import UsageError
 from ..output import Printer
 from ..story import Story
@@ -58,6 +59,20 @@
     return _execute_words(run, "why", job_id)
 
 
+@app.command()
+@with_run
+def where(
+    run: Run,
+    file: Annotated[str, typer.Argument(help="A job as JSON; - is standard input.")],
+    job_id: Annotated[
+        str, typer.Option("--id", help="The job's id, on which its place may depend.")
+    ] = "",
+):
+    """Tell where a job would go now, and why, without submitting it."""
+    job = JobDocument.from_json(_read(run.environment, file), file)
+    return run.execute(Where(job, job_id))
+
+
 @app.command()
 @with_run
 def cancel(run: Run, words: Words):
--- a/packages/client/banyanwheel_client/cli/run.py
+++ b/packages/client/banyanwheel_client/cli/run.py
@@ -6,7 +6,7 @@
 
 from banyanwheel_core.language import Reconfigure, Show, Submit, Why
 
-from ..client import Client, ClientSettings
+from ..client import Client, ClientSettings, Where
 from ..context import Environment
 from ..errors import InterruptionError, ProblemError, UsageError
 from ..output import Printer
@@ -81,7 +81,8 @@
             end = await client.submit(command.job)
             self._printer.document(end)
             return _STATUSES.get(end.state, ExitStatus.UNKNOWN)
-        reply = await client.command(command)
+        ask = client.where if isinstance(command, Where) else client.command
+        reply = await ask(command)
         self._printer.rows(reply.rows)
         if not reply.incomplete:
             return ExitStatus.OK
@@ -99,7 +100,7 @@
 def _interruption(client, command):
     if client.unanswered:
         return InterruptionError(f"{client.unanswered}: interrupted, outcome unknown")
-    if isinstance(command, Show | Why | Submit):
+    if isinstance(command, Show | Why | Submit | Where):
         return InterruptionError("interrupted, nothing took effect")
     return InterruptionError("interrupted, outcome unknown")
 
--- a/packages/client/banyanwheel_client/client.py
+++ b/packages/client/banyanwheel_client/client.py
@@ -6,10 +6,12 @@
 from errno import ECONNREFUSED, EHOSTUNREACH, ENETUNREACH
 from socket import gaierror
 from typing import Any
+from urllib.parse import quote
 
 import msgspec
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
+from banyanwheel_core.documents import JobDocument
 from banyanwheel_core.ids import new_job_id
 from banyanwheel_core.language import (
     CancelJob,
@@ -30,7 +32,7 @@
 )
 from .problem import read_problem
 
-__all__ = ["Client", "ClientSettings", "JobEnd", "Reply"]
+__all__ = ["Client", "ClientSettings", "JobEnd", "Reply", "Where"]
 
 DEFAULT_TRY_TIMEOUT_S = 5.0
 DEFAULT_WAIT_S = 60.0  # for a job's end
@@ -65,6 +67,14 @@
     incomplete: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Where:
+    """Asks where a job would go; ``job_id`` is empty for one that has none yet."""
+
+    job: JobDocument
+    job_id: str = ""
+
+
 class JobEnd(msgspec.Struct, frozen=True):
     """A job's last known state."""
 
@@ -130,11 +140,14 @@
         """
         repeatable = isinstance(command, Show | Why | CancelJob | Drain | Undrain)
         body = command_text(command).encode()
-        response = await self._deliver(body, repeatable)
-        rows = [msgspec.json.decode(line) for line in response.body.splitlines()]
-        if rows and rows[-1].keys() == {"incomplete"}:
-            return Reply(tuple(rows[:-1]), tuple(rows[-1]["incomplete"]))
-        return Reply(tuple(rows))
+        response = await self._deliver("/v1/commands", body, TEXT_HEADERS, repeatable)
+        return _read_rows(response)
+
+    async def where(self, question) -> Reply:
+        """Asks a dispatcher where the job of a :class:`Where` would go."""
+        path = f"/v1/where?id={quote(question.job_id)}"
+        body = msgspec.json.encode(question.job)
+        return _read_rows(await self._deliver(path, body, JSON_HEADERS, True))
 
     async def _submit_once(self, job_id, body):
         """Submits under one id, and asks until the end or the limit."""
@@ -187,17 +200,15 @@
             return None
         return msgspec.json.decode(response.body, type=JobEnd)
 
-    async def _deliver(self, body, repeatable):
-        """Posts a command until a dispatcher answers it."""
+    async def _deliver(self, path, body, headers, repeatable):
+        """Posts a command or question until a dispatcher answers it."""
         last = None
         for number in range(ROUNDS):
             if number:
                 await asyncio.sleep(ROUND_PAUSE_S)
             for _ in self._settings.dispatchers:
                 try:
-                    response = await self._try(
-                        "POST", "/v1/commands", body, TEXT_HEADERS
-                    )
+                    response = await self._try("POST", path, body, headers)
                 except _NoAnswer as error:
                     last = error
                     if error.sent and not repeatable:
@@ -282,6 +293,13 @@
             raise UnreachableError(f"{self._job_id}: not run: {self._last}")
 
 
+def _read_rows(response):
+    rows = [msgspec.json.decode(line) for line in response.body.splitlines()]
+    if rows and rows[-1].keys() == {"incomplete"}:
+        return Reply(tuple(rows[:-1]), tuple(rows[-1]["incomplete"]))
+    return Reply(tuple(rows))
+
+
 def _may_be_sent(error):
     if isinstance(error, gaierror):
         return False
--- a/packages/daemon/banyanwheel_daemon/dispatcher.py
+++ b/packages/daemon/banyanwheel_daemon/dispatcher.py
@@ -292,6 +292,7 @@
                 self.metrics,
                 boot_time,
                 self._ownership.stalled,
+                self._transient,
             )
             self._operations = Operations(
                 inspector,
--- a/packages/daemon/banyanwheel_daemon/inspector.py
+++ b/packages/daemon/banyanwheel_daemon/inspector.py
@@ -5,6 +5,8 @@
 from banyanwheel_core.language import Show, Table, Why, matches
 from banyanwheel_jobs.owners import inspection
 
+from .where import Where
+
 __all__ = ["Inspector"]
 
 
@@ -13,10 +15,12 @@
 
     ``gateway`` has the routing table and ``members`` the known processes.
     ``clock()`` returns seconds, and ``stalled(partition)`` whether the log doesn't
-    answer for a partition.
+    answer for a partition. ``transient`` are the TransientRequests.
     """
 
-    def __init__(self, name, owner, gateway, members, metrics, clock, stalled):
+    def __init__(
+        self, name, owner, gateway, members, metrics, clock, stalled, transient=None
+    ):
         self._name = name
         self._owner = owner
         self._gateway = gateway
@@ -24,6 +28,7 @@
         self._metrics = metrics
         self._now = clock
         self._stalled = stalled
+        self._where = Where(name, owner, gateway, transient, stalled, clock)
 
     def answer(self, question):
         """Returns the filtered rows for a Show, or the rows for a Why.
@@ -39,6 +44,11 @@
                 return [row for row in self._rows(table) if matches(where, row)]
         raise TypeError(f"not a question: {question!r}")
 
+    @property
+    def where(self):
+        """Tells where jobs would go."""
+        return self._where
+
     def _rows(self, table):
         owner, now = self._owner, self._now()
         match table:
--- a/packages/daemon/banyanwheel_daemon/operations.py
+++ b/packages/daemon/banyanwheel_daemon/operations.py
@@ -121,6 +121,11 @@
                 raise OperationError(Reason.OPERATORS_ONLY, detail)
         raise TypeError(f"not a command: {command!r}")
 
+    def where(self, job_id, document, wait_s):
+        """Tells where the job of a JobDocument would go; see :meth:`Where.explain`."""
+        where = self._inspector.where
+        return where.explain(job_id, document, wait_s, self._partitions)
+
     async def _show(self, show):
         question = Show(show.table, show.where)
         if show.table in LOCAL_TABLES:
--- a/packages/daemon/banyanwheel_daemon/operator_server.py
+++ b/packages/daemon/banyanwheel_daemon/operator_server.py
@@ -8,7 +8,7 @@
 
 from banyanwheel_core.documents import JobDocument
 from banyanwheel_core.errors import FindingsError
-from banyanwheel_core.ids import is_job_id
+from banyanwheel_core.ids import is_job_id, new_job_id
 from banyanwheel_core.problems import CONTENT_TYPE, Problem, Reason
 from banyanwheel_jobs.model import JobState
 from banyanwheel_jobs.outcomes import RETRY_AFTER_MS, Outcome
@@ -87,6 +87,8 @@
         match request.method:
             case "POST" if request.path == "/v1/commands":
                 await self._run_command(request)
+            case "POST" if request.path == "/v1/where":
+                self._explain_where(request)
             case "PUT" if job:
                 await self._put_job(request, job[1])
             case "GET" if job:
@@ -120,8 +122,20 @@
             lines = list(reply.rows)
             if reply.unresponsive:
                 lines.append({"incomplete": reply.unresponsive})
-            body = b"".join(msgspec.json.encode(line) + b"\n" for line in lines)
-            answer(request, 200, body, NDJSON_TYPE)
+            _answer_rows(request, lines)
+
+    def _explain_where(self, request):
+        job_id = request.arguments.get("id", [b""])[-1].decode("ascii", "replace")
+        job_id = job_id or new_job_id()
+        if not _check_id(request, job_id):
+            return
+        job = JobDocument.from_json(request.body)
+        request.release_body()
+        reply, rows = self._operations().where(job_id, job, _wait_s(request))
+        if reply is not None:
+            self._answer(request, job_id, reply)
+        else:
+            _answer_rows(request, rows)
 
     # Jobs
 
@@ -190,6 +204,11 @@
 )
 
 
+def _answer_rows(request, rows):
+    body = b"".join(msgspec.json.encode(row) + b"\n" for row in rows)
+    answer(request, 200, body, NDJSON_TYPE)
+
+
 def _check_id(request, job_id):
     if is_job_id(job_id):
         return True
--- a/packages/daemon/banyanwheel_daemon/transient_requests.py
+++ b/packages/daemon/banyanwheel_daemon/transient_requests.py
@@ -5,6 +5,7 @@
 
 from banyanwheel_jobs.cells.forwarding import ForwardedJobs, may_outlast
 from banyanwheel_jobs.cells.placers import suits
+from banyanwheel_jobs.cells.rules import Rule
 from banyanwheel_jobs.model import Submission
 from banyanwheel_jobs.open_work import submission_bytes
 from banyanwheel_jobs.outcomes import EVACUATED, RETRY_AFTER_MS, Outcome, Reply
@@ -121,19 +122,47 @@
         )
         self._placers.demand.record(submission, now)
         request = _Request(submission, reply, now, now + deadline_s, is_connected)
-        known = self._is_known(job_id)
-        admitted = known or self._admits(steps)
+        reason = self._refusal_reason(submission, now)
         self._requests.add(request)
         self._held_bytes += submission_bytes(steps)
-        if not admitted:
-            self._refuse(request, "work-limit")
-        elif may_outlast(submission, now, self._shutdown_deadline):
-            self._refuse(request, "dispatcher-stopping")
+        if reason:
+            self._refuse(request, reason)
         else:
             self._route(request, now)
 
         return partial(self._abandon, request)
 
+    def explain(self, submission, now):
+        """Returns the reason to refuse a new job, its Placer and the Rule.
+
+        The reason is empty if the job is not refused here. The Placer is None for this
+        dispatcher itself, or if none is known. Nothing changes.
+        """
+        if reason := self._refusal_reason(submission, now):
+            return reason, None, ""
+        if self._is_known(submission.job_id):
+            return "", self._forwarded.placer_of(submission.job_id), Rule.OPEN
+        placer, rule = self._choose_placer(
+            submission, self._own_offers(), now, (), self._placers.explain
+        )
+        return "", placer, rule
+
+    @property
+    def places_tasks(self):
+        """Whether this dispatcher places tasks itself."""
+        return self._own_offers() is not None
+
+    def admits(self, steps):
+        """Returns whether there is memory for one more job."""
+        return self._admits(steps)
+
+    def _refusal_reason(self, submission, now):
+        """Returns why a job is refused on arrival, empty if it is taken."""
+        if not (self._is_known(submission.job_id) or self._admits(submission.steps)):
+            return "work-limit"
+        stopping = may_outlast(submission, now, self._shutdown_deadline)
+        return "dispatcher-stopping" if stopping else ""
+
     def _is_known(self, job_id):
         """Whether an earlier submission of a job is open, so that its tasks count."""
         return (
@@ -196,11 +225,12 @@
             request.abandon = _not_running
             self._unrouted.append(request)
 
-    def _choose_placer(self, submission, offers, now, tried):
+    def _choose_placer(self, submission, offers, now, tried, choose=None):
         """Returns the Placer for a job, or None for this dispatcher itself.
 
         While an earlier submission of the job is open, a repeated one goes where that
-        is: two dispatchers would run its tasks twice.
+        is: two dispatchers would run its tasks twice. ``choose`` may take the place of
+        :meth:`Placers.choose`, and its answer is returned.
         """
         if self._owner.has_transient(submission.job_id):
             return None
@@ -210,7 +240,8 @@
         # A dispatcher that stops gives its jobs to others as long as there are any.
         stopping = self._shutdown_deadline < float("inf")
         preferred = None if stopping or SELF in tried else offers
-        return self._placers.choose(submission, now, preferred, tried)
+        choose = choose or self._placers.choose
+        return choose(submission, now, preferred, tried)
 
     def _route_elsewhere(self, request, placer, tried, refusal):
         """Gives a job that one placer has refused to another one, if it may help."""
--- a/packages/jobs/banyanwheel_jobs/cells/placers.py
+++ b/packages/jobs/banyanwheel_jobs/cells/placers.py
@@ -5,6 +5,7 @@
 waits there, the balance of their waits decides.
 """
 
+import copy
 import zlib
 from collections import Counter
 from dataclasses import dataclass, field
@@ -13,6 +14,7 @@
 from ..messages import UNKNOWN_BACKLOG, ServiceOffer
 from .balance import CellLoad, DemandMeter, choose_cell, spread_job, work_cpu_ms
 from .election import CLAIMS_TIMEOUT_S
+from .rules import Rule
 
 __all__ = ["Placer", "Placers", "offers_of", "suits"]
 
@@ -135,14 +137,23 @@
         ``own_offers`` are what this dispatcher can place on, None if it places no
         tasks. None is also returned if no placer is known.
         """
+        return self._choose(submission, now, own_offers, excluded)[0]
+
+    def explain(self, submission, now, own_offers=None, excluded=()):
+        """Returns what :meth:`choose` would return and its Rule; logs nothing."""
+        quiet = copy.copy(self)
+        quiet._event_log = None
+        return quiet._choose(submission, now, own_offers, excluded)
+
+    def _choose(self, submission, now, own_offers, excluded):
         candidates = self._candidates(now, excluded)
         if own_offers is not None and _keeps(own_offers, submission):
-            return None
+            return None, Rule.ROOM_HERE
         near = [placer for placer in candidates if placer.address in self._near]
         if own_offers is None:
             roomy = [placer for placer in near if _keeps(placer.offers, submission)]
             if roomy:
-                return _by_job(roomy, submission.job_id)
+                return _by_job(roomy, submission.job_id), Rule.ROOM_NEAR
         far = [placer for placer in candidates if placer.address not in self._near]
         own, others = self._loads(submission, candidates, own_offers, now)
         roomy = _with_room(far, submission, ROOMY_SHARE)
@@ -153,13 +164,14 @@
                 placer for placer in roomy if not _knows_backlog(placer, submission)
             ]
         if roomy:
-            return _by_job(roomy, submission.job_id)
+            rule = Rule.DATA if _racks(submission) else Rule.MUCH_ROOM
+            return _by_job(roomy, submission.job_id), rule
         if known:
             cell = self._balance(submission, own, others, now)
             if cell is not own:
-                return _by_job(cell.placers, submission.job_id)
+                return _by_job(cell.placers, submission.job_id), Rule.LESS_WAIT
         if own_offers is not None and suits(own_offers, submission):
-            return None
+            return None, Rule.LEAST_WAIT_HERE if known else Rule.SUITABLE_HERE
         return self._last_resort(near, far, submission, own_offers)
 
     def _loads(self, submission, candidates, own_offers, now):
@@ -256,7 +268,7 @@
 
     @staticmethod
     def _last_resort(near, far, submission, own_offers):
-        """Returns a placer without enough room, the best of its kind."""
+        """Returns a placer without enough room, the best of its kind, and the Rule."""
         suitable = [
             group
             for group in (
@@ -266,10 +278,10 @@
             if group
         ]
         if suitable:
-            return _by_job(suitable[0], submission.job_id)
+            return _by_job(suitable[0], submission.job_id), Rule.SUITABLE_THERE
         if own_offers is not None or not (near or far):
-            return None
-        return _by_job(near or far, submission.job_id)
+            return None, Rule.NONE_SUITABLE
+        return _by_job(near or far, submission.job_id), Rule.NONE_SUITABLE
 
 
 def offers_of(views, now, waiting_cpu_ms=None, demand=None):
--- a/packages/jobs/banyanwheel_jobs/durations/pace.py
+++ b/packages/jobs/banyanwheel_jobs/durations/pace.py
@@ -4,6 +4,7 @@
 share the error of their estimate. So a worker's pace is the median over jobs.
 """
 
+import copy
 import math
 from dataclasses import dataclass
 from statistics import median_high, median_low
@@ -95,6 +96,13 @@
         self._now = None  # the time of the last refresh
         self._reported = None  # (slowness, since when)
 
+    def copy(self):
+        """Returns a Pace whose estimates are kept apart from those of this one."""
+        other = copy.copy(self)
+        other._jobs = {key: copy.copy(each) for key, each in self._jobs.items()}
+        other._estimates = dict(self._estimates)
+        return other
+
     def due(self, now):
         """Returns whether to refresh the estimates, and to record progress before."""
         return self._now is None or now - self._now >= REFRESH_S
--- a/packages/jobs/banyanwheel_jobs/interference/interference.py
+++ b/packages/jobs/banyanwheel_jobs/interference/interference.py
@@ -1,10 +1,12 @@
 """Learns which kinds of tasks slow each other down, and what that costs at a worker."""
 
+import copy
 from collections import OrderedDict, deque
 from dataclasses import dataclass
 from math import exp, log
 
 from ..model import EndKind
+from ..silent_log import SilentLog
 from .pairs import MIN_SLOWDOWN, Sample, find_causes
 from .presence import Presence
 
@@ -86,6 +88,13 @@
         """The kinds of which run times are kept, at most ``MAX_KINDS``."""
         return frozenset(self._samples)
 
+    def copy(self):
+        """Returns the same knowledge, to be used for choices that take no effect."""
+        other = copy.copy(self)
+        other._presence = copy.deepcopy(self._presence)
+        other._event_log = SilentLog()
+        return other
+
     def record_placed(self, worker, job, task, now):
         """Records that a task has been placed at a worker."""
         step = job.step_of(task)
--- a/packages/jobs/banyanwheel_jobs/owners/explaining.py
+++ b/packages/jobs/banyanwheel_jobs/owners/explaining.py
@@ -5,7 +5,7 @@
 from ..model import JobState
 from .job import TaskState
 
-__all__ = ["explain"]
+__all__ = ["explain", "obstacle"]
 
 SHOWN_RUNNERS = 8  # runners named in one answer; the others are only counted
 
@@ -17,7 +17,7 @@
     waiting = list(job.startable(now))
     texts = []
     if waiting:
-        reason = _obstacle(job, waiting[0], views, drains, placement, now)
+        reason = obstacle(job, waiting[0], views, drains, placement, now)
         texts.append(f"{len(waiting)} tasks wait: {reason}")
     texts.append(_places(job))
     if not any(texts):
@@ -53,7 +53,7 @@
     return "its tasks wait for earlier steps"
 
 
-def _obstacle(job, task, views, drains, placement, now):
+def obstacle(job, task, views, drains, placement, now):
     """Returns the reason why a task is not placed."""
     step = job.step_of(task)
     service = job.submission.queue.service
--- a/packages/jobs/banyanwheel_jobs/owners/inspection.py
+++ b/packages/jobs/banyanwheel_jobs/owners/inspection.py
@@ -6,6 +6,7 @@
 from .job import TaskState
 
 __all__ = [
+    "LEAVES_ROOM",
     "job_rows",
     "partition_rows",
     "queue_shares",
@@ -14,6 +15,7 @@
     "worker_rows",
 ]
 
+# Also the answer of a rehearsal.
 LEAVES_ROOM = (
     "room is short and it is unlikely to be on time: it leaves half of the room to "
     "jobs that can be"
--- a/packages/jobs/banyanwheel_jobs/owners/transient.py
+++ b/packages/jobs/banyanwheel_jobs/owners/transient.py
@@ -207,12 +207,16 @@
             elif cannot_finish(job, now, contended):
                 self._event_log.count("banyanwheel.refusals", "begun-too-late")
                 self.abort_transient(job.id, "begun-too-late")
-        if too_late:
-            waiting = [job for job in self._waiting.active if job not in too_late]
-            backlog_s = backlog_time_s(waiting, self._views.values(), now)
-            for job in too_late:
-                retry_ms = overload_retry_ms(job.id, backlog_s)
-                self._refuse_transient(job, "too-late", now, retry_ms)
+        for job, retry_ms in self._retry_times(too_late, now).items():
+            self._refuse_transient(job, "too-late", now, retry_ms)
+
+    def _retry_times(self, too_late, now):
+        """Returns after how many ms the callers of refused jobs return, by job."""
+        if not too_late:
+            return {}
+        waiting = [job for job in self._waiting.active if job not in too_late]
+        backlog_s = backlog_time_s(waiting, self._views.values(), now)
+        return {job: overload_retry_ms(job.id, backlog_s) for job in too_late}
 
     def _hopeless(self, now):
         """Returns the jobs that can't end in time, given the work ahead of them."""
--- a/packages/jobs/banyanwheel_jobs/placing/placement.py
+++ b/packages/jobs/banyanwheel_jobs/placing/placement.py
@@ -1,5 +1,6 @@
 """The order of jobs, and the choice of a runner for a task."""
 
+import copy
 from typing import NamedTuple
 
 from ..durations.durations import Kind
@@ -93,6 +94,13 @@
         """What is learned about interfering tasks, None if that is switched off."""
         return self._interference
 
+    def copy(self):
+        """Returns a policy that learns and counts nothing for this one."""
+        other = copy.copy(self)
+        if self._interference is not None:
+            other._interference = self._interference.copy()
+        return other
+
     def choose(self, job, task, views, used, now, *, any_runner=False):
         """Returns the best of ``views`` with enough room, or None to wait.
 
--- a/packages/jobs/banyanwheel_jobs/placing/runner_view.py
+++ b/packages/jobs/banyanwheel_jobs/placing/runner_view.py
@@ -1,5 +1,6 @@
 """An owner's view of one runner and the worker beside it."""
 
+import copy
 from dataclasses import dataclass, field
 
 from ..authority import StampTracker
@@ -67,6 +68,13 @@
             and now - self.heard_at < REPORT_TIMEOUT_S
         )
 
+    def copy(self):
+        """Returns a view at which tasks can be placed without an effect on this one."""
+        other = copy.copy(self)
+        other.outstanding = dict(self.outstanding)
+        other.pace = self.pace.copy()
+        return other
+
     def add_assignment(self, key, assignment):
         """Records an assignment and subtracts its resources from the free ones."""
         self.outstanding[key] = assignment
--- a/packages/jobs/banyanwheel_jobs/shares/return_places.py
+++ b/packages/jobs/banyanwheel_jobs/shares/return_places.py
@@ -1,5 +1,6 @@
 """Places kept for callers that return at the time that a refusal named."""
 
+import copy
 from collections import OrderedDict
 
 __all__ = ["ReturnPlaces"]
@@ -24,6 +25,12 @@
         """Returns the number of places."""
         return len(self._due)
 
+    def copy(self):
+        """Returns the same places, which can be used up without an effect on these."""
+        other = copy.copy(self)
+        other._due = self._due.copy()
+        return other
+
     def keep(self, job_id, due_at, now):
         """Keeps a place from ``due_at`` on; drops the oldest beyond ``MAX_PLACES``."""
         self._due.pop(job_id, None)
--- a/packages/jobs/banyanwheel_jobs/shares/shares.py
+++ b/packages/jobs/banyanwheel_jobs/shares/shares.py
@@ -1,5 +1,6 @@
 """The order of the jobs that wait for room, by worth and by floors."""
 
+import copy
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -38,6 +39,13 @@
         self.services = {}
         self._entries = {}  # by job
 
+    def copy(self):
+        """Returns the same accounts and jobs, for jobs that are only tried out."""
+        other = copy.copy(self)
+        other.services = copy.deepcopy(self.services)
+        other._entries = dict(self._entries)
+        return other
+
     def arrive(self, job, *, returns=False):
         """Records a new job. One that ``returns`` comes when a refusal told it to."""
         submission = job.submission
--- /dev/null
+++ b/packages/jobs/banyanwheel_jobs/silent_log.py
@@ -0,0 +1,16 @@
+"""An event log for decisions that are only tried out."""
+
+__all__ = ["SilentLog"]
+
+
+class SilentLog:
+    """Writes and counts nothing."""
+
+    def __call__(self, event, **fields):
+        """Takes the place of a log line."""
+
+    def count(self, counter, reason, amount=1):
+        """Takes the place of a count."""
+
+    def observe(self, name, seconds, **attributes):
+        """Takes the place of a measured time."""
