Command where and POST /v1/where

They tell where a job would go now, without submitting it: the dispatcher's own route and rule, admission, and workers by step, from a dry run on a copy. Faulty documents, unknown queues and ids get the errors of a submission.

--- a/packages/daemon/banyanwheel_daemon/operator_server.py
+++ b/packages/daemon/banyanwheel_daemon/operator_server.py
@@ -129,6 +129,9 @@
         job_id = job_id or new_job_id()
         if not _check_id(request, job_id):
             return
+        if not self._server.budget.may_serve():
+            answer_problem(request, _BUSY)
+            return
         job = JobDocument.from_json(request.body)
         request.release_body()
         reply, rows = self._operations().where(job_id, job, _wait_s(request))
--- a/packages/daemon/banyanwheel_daemon/where.py
+++ b/packages/daemon/banyanwheel_daemon/where.py
@@ -3,7 +3,7 @@
 from banyanwheel_jobs.cells.rules import Rule
 from banyanwheel_jobs.model import Step, Submission, partition_of
 from banyanwheel_jobs.outcomes import RETRY_AFTER_MS, Outcome, Reply
-from banyanwheel_jobs.owners.rehearsal import rehearse
+from banyanwheel_jobs.owners.dry_run import dry_run
 
 __all__ = ["Where"]
 
@@ -51,7 +51,7 @@
         if not self._transient.places_tasks:
             why = "no placer is known; it waits for one"
             return [{"about": "route", "result": "hold", "why": why}]
-        return [self._here(rule), *rehearse(self._owner, submission, now, wait_s)]
+        return [self._here(rule), *dry_run(self._owner, submission, now, wait_s)]
 
     def _stored_rows(self, submission, wait_s, number):
         """Returns the rows for a job of one partition, after a Reply or None."""
@@ -71,7 +71,7 @@
             return None, [_refused("log-unavailable")]
         if not self._transient.admits(submission.steps):
             return None, [_refused("work-limit")]
-        rows = rehearse(self._owner, submission, self._now(), wait_s)
+        rows = dry_run(self._owner, submission, self._now(), wait_s)
         return None, [self._here(Rule.OWNER), *rows]
 
     def _here(self, rule):
--- a/packages/jobs/banyanwheel_jobs/owners/rehearsal.py
+++ b/packages/jobs/banyanwheel_jobs/owners/dry_run.py
@@ -1,4 +1,4 @@
-"""Tries out what a new job would get now, on a copy of an owner's state.
+"""Finds out what a new job would get now, on a copy of an owner's state.
 
 The copy decides with the owner's own code, and its messages are sent nowhere.
 """
@@ -17,28 +17,28 @@
 from .partition import Partition
 from .waiting import WaitingJobs
 
-__all__ = ["rehearse"]
+__all__ = ["dry_run"]
 
 
-def rehearse(owner, submission, now, wait_s):
+def dry_run(owner, submission, now, wait_s):
     """Returns a row on the admission of a new job, and rows on each of its steps.
 
     ``submission`` is transient, or belongs to a partition of the owner. Its caller
     waits for ``wait_s``. What waits already has been offered the present room.
     """
-    trial = _copy_of(owner)
+    clone = _copy_of(owner)
     replies = []
     if submission.transient:
-        trial.run_transient(submission, replies.append, now, now + wait_s)
-        job = trial.transient.jobs.get(submission.job_id)
+        clone.run_transient(submission, replies.append, now, now + wait_s)
+        job = clone.transient.jobs.get(submission.job_id)
     else:
-        job = _add_stored(trial, submission, now)
+        job = _add_stored(clone, submission, now)
     if job is not None:
-        steps = _step_rows(owner, trial, job, now)
+        steps = _step_rows(owner, clone, job, now)
         if submission.transient:
-            _refuse_as_due(owner, trial, job, now)
+            _refuse_as_due(owner, clone, job, now)
     if replies:
-        return [_refusal(trial, submission.job_id, replies[0])]
+        return [_refusal(clone, submission.job_id, replies[0])]
     waiting = sum(task.state is TaskState.WAITING for task in _tasks(job))
     result = "hold" if waiting == len(_tasks(job)) else "admit"
     return [{"about": "admission", "result": result, "tasks": waiting}, *steps]
@@ -46,39 +46,39 @@
 
 def _copy_of(owner):
     """Returns an owner with copies of all that a job and its placing change."""
-    trial = copy.copy(owner)
-    trial._event_log = SilentLog()
-    trial._send = lambda runner, message: None
-    trial._placement = owner.placement.copy()
-    trial._views = {name: view.copy() for name, view in owner.views.items()}
-    trial._transient = Partition.transient(now=0.0)
-    trial._partitions = {
+    clone = copy.copy(owner)
+    clone._event_log = SilentLog()
+    clone._send = lambda runner, message: None
+    clone._placement = owner.placement.copy()
+    clone._views = {name: view.copy() for name, view in owner.views.items()}
+    clone._transient = Partition.transient(now=0.0)
+    clone._partitions = {
         number: dataclasses.replace(partition, jobs=HeldTable.of_jobs())
         for number, partition in owner.partitions.items()
     }
-    trial._waiting = WaitingJobs()
-    trial._order = WaitingOrder()
-    trial._refused = OrderedDict()
-    trial._return_places = owner._return_places.copy()
-    trial.shares = owner.shares.copy()
-    return trial
+    clone._waiting = WaitingJobs()
+    clone._order = WaitingOrder()
+    clone._refused = OrderedDict()
+    clone._return_places = owner._return_places.copy()
+    clone.shares = owner.shares.copy()
+    return clone
 
 
-def _refuse_as_due(owner, trial, job, now):
+def _refuse_as_due(owner, clone, job, now):
     """Refuses the job in the copy if the owner's next tick would refuse it."""
-    trial._waiting.update(owner._waiting.active)
-    too_late = trial._hopeless(now)
+    clone._waiting.update(owner._waiting.active)
+    too_late = clone._hopeless(now)
     if job in too_late:
-        retry_ms = trial._retry_times(too_late, now)[job]
-        trial._refuse_transient(job, "too-late", now, retry_ms)
-    elif not job.may_have_begun and not trial.has_reachable_runner(now):
-        trial._refuse_transient(job, "no-runner", now)
+        retry_ms = clone._retry_times(too_late, now)[job]
+        clone._refuse_transient(job, "too-late", now, retry_ms)
+    elif not job.may_have_begun and not clone.has_reachable_runner(now):
+        clone._refuse_transient(job, "no-runner", now)
 
 
-def _add_stored(trial, submission, now):
-    partition = trial.partition_for(submission.job_id)
-    trial._add_job(partition, submission, now)
-    trial.dispatch(now)
+def _add_stored(clone, submission, now):
+    partition = clone.partition_for(submission.job_id)
+    clone._add_job(partition, submission, now)
+    clone.dispatch(now)
     return partition.jobs[submission.job_id]
 
 
@@ -86,16 +86,16 @@
     return [task for tasks in job.tasks for task in tasks]
 
 
-def _refusal(trial, job_id, reply):
+def _refusal(clone, job_id, reply):
     return {
         "about": "admission",
         "result": "refuse",
-        "why": trial.refused.get(job_id) or str(reply.state),
+        "why": clone.refused.get(job_id) or str(reply.state),
         "retry_after_ms": reply.retry_ms,
     }
 
 
-def _step_rows(owner, trial, job, now):
+def _step_rows(owner, clone, job, now):
     rows = []
     startable = {id(step) for step, _ in job.startable_steps(now)}
     for number, (step, tasks) in enumerate(
@@ -112,7 +112,7 @@
             rows.append(row | _factors(owner, job, step, number, name))
         waiting = [task for task in tasks if task.state is TaskState.WAITING]
         if waiting:
-            why = _why_waiting(trial, job, waiting[0], now)
+            why = _why_waiting(clone, job, waiting[0], now)
             row = {**base, "result": "wait", "tasks": len(waiting), "why": why}
             rows.append(row | _passed_over(owner, job, step, now))
     return rows
@@ -152,8 +152,8 @@
     }
 
 
-def _why_waiting(trial, job, task, now):
-    if trial.shares.must_leave_room(job, now):
+def _why_waiting(clone, job, task, now):
+    if clone.shares.must_leave_room(job, now):
         return LEAVES_ROOM
-    views = trial.views.values()
-    return obstacle(job, task, views, trial.drains, trial.placement, now)
+    views = clone.views.values()
+    return obstacle(job, task, views, clone.drains, clone.placement, now)
--- a/packages/jobs/banyanwheel_jobs/owners/inspection.py
+++ b/packages/jobs/banyanwheel_jobs/owners/inspection.py
@@ -15,7 +15,7 @@
     "worker_rows",
 ]
 
-# Also the answer of a rehearsal.
+# Also the answer of a dry run.
 LEAVES_ROOM = (
     "room is short and it is unlikely to be on time: it leaves half of the room to "
     "jobs that can be"
--- a/packages/jobs/banyanwheel_jobs/shares/shares.py
+++ b/packages/jobs/banyanwheel_jobs/shares/shares.py
@@ -40,7 +40,7 @@
         self._entries = {}  # by job
 
     def copy(self):
-        """Returns the same accounts and jobs, for jobs that are only tried out."""
+        """Returns the same accounts and jobs, for dry runs."""
         other = copy.copy(self)
         other.services = copy.deepcopy(self.services)
         other._entries = dict(self._entries)
--- a/packages/jobs/banyanwheel_jobs/silent_log.py
+++ b/packages/jobs/banyanwheel_jobs/silent_log.py
@@ -1,4 +1,4 @@
-"""An event log for decisions that are only tried out."""
+"""An event log for dry runs of decisions."""
 
 __all__ = ["SilentLog"]
 
--- a/tests/client/fake_dispatcher.py
+++ b/tests/client/fake_dispatcher.py
@@ -81,6 +81,7 @@
         routes = [
             ("/v1/jobs/(.*)", _Job, {"dispatcher": self}),
             ("/v1/commands", _Commands, {"dispatcher": self}),
+            ("/v1/where", _Commands, {"dispatcher": self}),
         ]
         server = HTTPServer(Application(routes, log_function=lambda handler: None))
         server.add_sockets(sockets)
--- a/tests/client/test_commands.py
+++ b/tests/client/test_commands.py
@@ -63,6 +63,28 @@
     ]
 
 
+@pytest.mark.parametrize("extra", [(), ("--id", JOB_ID)])
+def test_a_job_is_asked_about_and_not_submitted(tmp_path, dispatcher, jobs, extra):
+    env = environment(tmp_path, stdin=JOB)
+    first, second = dispatcher(after=[cut]), dispatcher(rows=ROWS)
+    urls = ["--dispatcher", first.url, "--dispatcher", second.url]
+    assert main(["where", "-", *extra, *urls], env) is ExitStatus.OK
+    assert {json.loads(text)["queue"] for text in jobs.commands} == {"counter"}
+    assert not jobs.puts
+    assert len(env.stdout.getvalue().splitlines()) == len(ROWS)
+
+
+@pytest.mark.parametrize("text", ["{", '{"queue": "q", "steps": []}'])
+def test_a_faulty_job_is_told_as_by_submit(tmp_path, dispatcher, text):
+    told = []
+    for subcommand in ("submit", "where"):
+        env = environment(tmp_path, stdin=text)
+        urls = ["--dispatcher", dispatcher(rows=ROWS).url]
+        assert main([subcommand, "-", *urls], env) is ExitStatus.USAGE
+        told.append(env.stderr.getvalue())
+    assert told[0] == told[1] != ""
+
+
 def test_a_person_sees_a_table(tmp_path, dispatcher):
     env = environment(tmp_path, terminal=True)
     assert (
--- a/tests/daemon/test_operator_server.py
+++ b/tests/daemon/test_operator_server.py
@@ -75,6 +75,7 @@
             self.metrics,
             lambda: NOW,
             lambda partition: False,
+            self.gateway._transient,
         )
         self.operations = Operations(
             self.inspector,
@@ -257,6 +258,24 @@
     serve(scenario)
 
 
+def test_a_job_is_explained_without_being_submitted():
+    async def scenario(site, request):
+        path = f"/v1/where?id={JOB_ID}"
+        code, body = await request("POST", path, JOB)
+        rows = [json.loads(line) for line in body.splitlines()]
+        assert (code, rows[0]["result"], rows[1]["result"]) == (200, "here", "hold")
+        assert (await command(request, "show jobs"))[1] == []
+        for bad, wanted in ((JOB | {"steps": []}, 400), (JOB | {"queue": "x"}, 404)):
+            code, body = await request("POST", path, bad)
+            put = await request("PUT", f"/v1/jobs/{JOB_ID}", bad)
+            assert (code, body) == put
+            assert code == wanted
+        code, body = await request("POST", "/v1/where?id=x", JOB)
+        assert (code, json.loads(body)["place"]) == (400, "id")
+
+    serve(scenario)
+
+
 def test_a_drain_reports_whether_it_changed_anything():
     async def scenario(site, request):
         for text, result in (
