Test of dry runs: with room, without, and for hopeless jobs

The comparison of states had been made beside full workers only: with the copies of placement, kept places or refusals, or the silent log and sender left out, it still passed. Each of ten such changes to _copy_of now fails test_asking_changes_nothing (tried one by one).

--- a/tests/jobs/owners/test_dry_run.py
+++ b/tests/jobs/owners/test_dry_run.py
@@ -98,11 +98,12 @@
 
 
 @pytest.mark.parametrize("transient", [True, False])
-def test_asking_changes_nothing(transient):
+@pytest.mark.parametrize("open_jobs", [0, 2, 60])  # with room, without, hopeless
+def test_asking_changes_nothing(transient, open_jobs):
     world, owner = started()
     owner.placement._interference = Interference(EventRecorder())
-    world.submit("owner-0", "b" * 16, tasks=3)
-    world.submit("owner-0", "c" * 16, tasks=9)
+    for number in range(open_jobs):
+        world.submit("owner-0", f"{number:016x}", tasks=4)
     before = snapshot(owner), snapshot(world.links), snapshot(world.event_log)
     for tasks in (1, 4, 30):
         dry_run(owner, job(world, tasks, transient), world.now, WAIT_S)
