A question where a job would go renews no offers

The dispatcher sums up its offers at most every so often and keeps the sum; asking would have shifted when that happens. peek_offers returns the same and keeps nothing.

tests/daemon/test_contacts.py, test_where.py, test_transient_requests.py, test_dispatcher.py, test_operator_server.py: 92 pass.

--- a/packages/daemon/banyanwheel_daemon/contacts.py
+++ b/packages/daemon/banyanwheel_daemon/contacts.py
@@ -62,14 +62,22 @@
             return None
         now = boot_time()
         if now - self._offers_at > OFFERS_MAX_AGE_S:
-            views = self._owner.views.values()
-            own = [view for view in views if not view.borrowed]
-            self._offers = offers_of(
-                own, now, self._owner.waiting_cpu_ms, self._placers.demand
-            )
+            self._offers = self._sum_up_offers(now)
             self._offers_at = now
         return self._offers
 
+    def peek_offers(self):
+        """Returns what :meth:`offers` would return, and keeps nothing of it."""
+        if not self._election.placing:
+            return None
+        now = boot_time()
+        fresh = now - self._offers_at <= OFFERS_MAX_AGE_S
+        return self._offers if fresh else self._sum_up_offers(now)
+
+    def _sum_up_offers(self, now):
+        own = [view for view in self._owner.views.values() if not view.borrowed]
+        return offers_of(own, now, self._owner.waiting_cpu_ms, self._placers.demand)
+
     def contact(self):
         """Sends the heartbeats that are due, and decides which runners to contact."""
         self._update_election()
--- a/packages/daemon/banyanwheel_daemon/dispatcher.py
+++ b/packages/daemon/banyanwheel_daemon/dispatcher.py
@@ -79,6 +79,7 @@
             send=self._send_to_placer,
             numbers=numbers,
             own_offers=self._contacts.offers,
+            peek_offers=self._contacts.peek_offers,
             admits=self._work_limit.admits,
         )
         self._gateway = RequestGateway(
--- a/packages/daemon/banyanwheel_daemon/transient_requests.py
+++ b/packages/daemon/banyanwheel_daemon/transient_requests.py
@@ -53,9 +53,9 @@
     """The open transient jobs of callers.
 
     ``own_offers()`` returns the ServiceOffers of this dispatcher, None if it places no
-    tasks. ``send(address, incarnation, message)`` sends to another dispatcher;
-    ``numbers`` yields the numbers of requests. ``admits(steps)`` tells whether there is
-    memory for one more job.
+    tasks; ``peek_offers()`` does so without an effect. ``send(address, incarnation,
+    message)`` sends to another dispatcher; ``numbers`` yields the numbers of requests.
+    ``admits(steps)`` tells whether there is memory for one more job.
     """
 
     def __init__(
@@ -68,6 +68,7 @@
         send,
         numbers,
         own_offers,
+        peek_offers=None,
         admits=lambda steps: True,
     ):
         self._owner = owner
@@ -75,6 +76,7 @@
         self._now, self._wall_ms = clocks
         self._event_log = event_log
         self._own_offers = own_offers
+        self._peek_offers = peek_offers or own_offers
         self._admits = admits
         self._requests = set()
         self._held_bytes = 0
@@ -143,14 +145,14 @@
         if self._is_known(submission.job_id):
             return "", self._forwarded.placer_of(submission.job_id), Rule.OPEN
         placer, rule = self._choose_placer(
-            submission, self._own_offers(), now, (), self._placers.explain
+            submission, self._peek_offers(), now, (), self._placers.explain
         )
         return "", placer, rule
 
     @property
     def places_tasks(self):
         """Whether this dispatcher places tasks itself."""
-        return self._own_offers() is not None
+        return self._peek_offers() is not None
 
     def admits(self, steps):
         """Returns whether there is memory for one more job."""
--- a/tests/daemon/test_contacts.py
+++ b/tests/daemon/test_contacts.py
@@ -271,3 +271,17 @@
     site.contacts._offers_at = float("-inf")
     (offer,) = site.contacts.offers()
     assert offer.capacity_cpu == RUNNERS_PER_DATA_CENTRE * 1_000
+
+
+def test_offers_are_looked_at_without_being_renewed(site):
+    """An operator's question would shift when a dispatcher sums up its offers."""
+    site.contact()
+    assert site.contacts.offers() == ()
+    view = next(iter(site.owner.views.values()))
+    view.worker = WorkerStatus("w@1", "desk", True, *[Resources(1_000)] * 2, (), 1.0)
+    view.reconciled, view.heard_at = True, boot_time()
+    site.contacts._offers_at = float("-inf")
+    seen = site.contacts.peek_offers()
+    assert (len(seen), site.contacts._offers) == (1, ())
+    assert site.contacts._offers_at == float("-inf")
+    assert site.contacts.offers() == seen
