--- a/packages/daemon/banyanwheel_daemon/dispatcher.py
+++ b/packages/daemon/banyanwheel_daemon/dispatcher.py
@@ -79,6 +79,7 @@
             send=self._send_to_placer,
             numbers=numbers,
             own_offers=self._contacts.offers,
+            peek_offers=self._contacts.peek_offers,
             admits=self._work_limit.admits,
         )
         self._gateway = RequestGateway(
@@ -292,6 +293,7 @@
                 self.metrics,
                 boot_time,
                 self._ownership.stalled,
+                self._transient,
             )
             self._operations = Operations(
                 inspector,
