--- a/packages/jobs/banyanwheel_jobs/shares/shares.py
+++ b/packages/jobs/banyanwheel_jobs/shares/shares.py
@@ -109,9 +109,8 @@
     def must_leave_room(self, job, now):
         """Returns whether a job leaves the room to others while it is short.
 
-        That is so for a transient job that has not begun and is unlikely to be on time,
-        while room is short: the jobs that arrive while it
-        runs are worth more.
+        That is so for a transient job that has not begun and is unlikely to be on time:
+        the jobs that arrive while it runs are worth more.
         """
         entry = self._entries.get(job)
         return (
