--- a/tests/daemon/untrusted_clients.py
+++ b/tests/daemon/untrusted_clients.py
@@ -111,6 +111,12 @@
     yield f"{start}Host: {server.host}\r\nContent-Length: 10\r\n\r\n".encode()
 
 
+def _fields(server, number, *, fields):
+    """Yields a request with so many header fields whose body never comes."""
+    lines = (f"a{each:x}:" for each in range(fields))
+    yield server.head(number, *lines, "Content-Length: 10")
+
+
 @dataclass(frozen=True, slots=True)
 class _Attack:
     clients: int
@@ -137,6 +143,7 @@
 # For processes whose memory, not their descriptors, limits the connections.
 MANY_CONNECTIONS = {
     "query-arguments": _Attack(300, partial(_query, arguments=990)),
+    "header-fields": _Attack(300, partial(_fields, fields=2_000)),
 }
 
 
