A document reports its first 100 faults, and a long one is checked quickly

Callers saw a dispatcher stand still and run out of memory: a body of legal size sent to the operators' address can be a job of 87,000 steps. Each was checked by itself, with its type looked up anew (2 to 4 s for one body, in which nobody gets an answer), and 120,000 faults were reported one by one.

A sound document is now converted at once; only one with faults is walked, to tell their places. The walk ends at 100 faults, keeps what it knows of a type, and looks at the length of a list before its entries: a job has at most 10,000 tasks, so at most as many steps.

The tests of documents can't be collected before, as they name the new limit.

--- a/packages/core/banyanwheel_core/checking.py
+++ b/packages/core/banyanwheel_core/checking.py
@@ -1,4 +1,4 @@
-"""Checks outside data against a typed structure and collects every fault.
+"""Checks outside data against a typed structure and collects its faults.
 
 A structure is a data class or a msgspec structure. A field whose type has a class
 method ``parse`` is read from text by it; ``parse`` raises ValueError for a fault.
@@ -9,12 +9,13 @@
 import re
 import tomllib
 from collections.abc import Mapping
+from functools import cache
 from typing import Annotated, get_args, get_origin, get_type_hints
 
 import msgspec
 
 from .errors import FindingsError
-from .findings import Finding
+from .findings import MAX_FINDINGS, Finding
 
 __all__ = ["TomlSource", "check", "convert", "nearest"]
 
@@ -59,7 +60,8 @@
 def check(source, structure):
     """Checks a :class:`TomlSource` and returns the structure.
 
-    Raises FindingsError with every fault, each with its key and line.
+    Raises FindingsError with the first ``MAX_FINDINGS`` faults, each with its key and
+    line.
     """
     return _convert(source.data, structure, source.name, source.line_of)
 
@@ -67,7 +69,7 @@
 def convert(data, structure, source=""):
     """Checks plain data, such as decoded JSON, and returns the structure.
 
-    Raises FindingsError with every fault, each with its key.
+    Raises FindingsError with the first ``MAX_FINDINGS`` faults, each with its key.
     """
     return _convert(data, structure, source, lambda path: None)
 
@@ -80,14 +82,21 @@
 
 def _convert(data, structure, source, line_of):
     walk = _Walk(source, line_of)
-    walk.visit(data, structure, ())
-    if not walk.findings:
-        value = walk.leaf(data, structure, ())
+    try:
+        walk.visit(data, structure, ())
+        if not walk.findings:
+            value = walk.leaf(data, structure, ())
+    except _EnoughFindings:
+        pass
     if walk.findings:
         raise FindingsError(walk.findings)
     return value
 
 
+class _EnoughFindings(Exception):
+    """Ends a walk whose data has too many faults to report."""
+
+
 class _Walk:
     """Visits data along its type, so that one fault does not hide the next."""
 
@@ -100,7 +109,11 @@
         while get_origin(kind) is Annotated:
             if not isinstance(value, (dict, list)):
                 break
-            kind = get_args(kind)[0]
+            kind, *constraints = get_args(kind)
+            limit = _max_length(constraints)
+            if isinstance(value, list) and len(value) > limit:
+                self._add(path, f"has {len(value)} entries, more than {limit}")
+                return
         if _is_structure(kind) and isinstance(value, dict):
             self._visit_fields(value, kind, path)
         elif get_origin(kind) is dict and isinstance(value, dict):
@@ -123,17 +136,15 @@
             return None
 
     def _visit_fields(self, value, structure, path):
-        kinds = get_type_hints(structure, include_extras=True)
-        fields = msgspec.inspect.type_info(structure).fields
-        known = {field.encode_name: kinds[field.name] for field in fields}
+        known, required = _fields_of(structure)
         for key, item in value.items():
             if key in known:
                 self.visit(item, known[key], (*path, key))
             else:
                 self._add((*path, key), f"unknown key{nearest(key, known)}")
-        for field in fields:
-            if field.required and field.encode_name not in value:
-                self._add((*path, field.encode_name), "is missing")
+        for key in required:
+            if key not in value:
+                self._add((*path, key), "is missing")
 
     def _visit_items(self, value, kind, path):
         key_kind, item_kind = get_args(kind)
@@ -145,6 +156,22 @@
         line = self._line_of(path)
         place = (_place(path) + suffix).lstrip(".")
         self.findings.append(Finding(place, message, self._source, line))
+        if len(self.findings) >= MAX_FINDINGS:
+            raise _EnoughFindings
+
+
+@cache
+def _fields_of(structure):
+    """Returns the types of a structure's fields by key, and the required keys."""
+    kinds = get_type_hints(structure, include_extras=True)
+    fields = msgspec.inspect.type_info(structure).fields
+    known = {field.encode_name: kinds[field.name] for field in fields}
+    return known, tuple(field.encode_name for field in fields if field.required)
+
+
+def _max_length(constraints):
+    lengths = (getattr(each, "max_length", None) for each in constraints)
+    return min((each for each in lengths if each is not None), default=float("inf"))
 
 
 def _is_structure(kind):
--- a/packages/core/banyanwheel_core/documents.py
+++ b/packages/core/banyanwheel_core/documents.py
@@ -3,6 +3,7 @@
 Durations are whole milliseconds; ``cpu`` is in thousandths of a core.
 """
 
+from itertools import islice
 from typing import Annotated
 
 import msgspec
@@ -10,7 +11,7 @@
 
 from . import checking
 from .errors import FindingsError
-from .findings import Finding
+from .findings import MAX_FINDINGS, Finding
 
 __all__ = [
     "MAX_AMOUNT",
@@ -61,15 +62,18 @@
     """
 
     queue: Text
-    steps: Annotated[tuple[StepDocument, ...], Meta(min_length=1)]
+    steps: Annotated[tuple[StepDocument, ...], Meta(min_length=1, max_length=MAX_TASKS)]
     spec: str = ""
     transient: bool = False
 
     @classmethod
     def from_json(cls, data, source=""):
-        """Reads JSON; raises FindingsError with the place of each fault."""
+        """Reads JSON; raises FindingsError with the places of its faults.
+
+        Reports the first ``MAX_FINDINGS`` faults.
+        """
         job = _read_json(data, cls, source)
-        findings = [*_faults_of_steps(job.steps, source)]
+        findings = list(islice(_faults_of_steps(job.steps, source), MAX_FINDINGS))
         if len(job.spec.encode()) > MAX_SPEC_BYTES:
             message = f"is longer than {MAX_SPEC_BYTES} bytes"
             findings.append(Finding("spec", message, source))
@@ -127,7 +131,11 @@
         plain = msgspec.json.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise FindingsError([Finding("syntax", str(error), source)]) from error
-    return checking.convert(plain, kind, source)
+    try:
+        # Documents forbid unknown keys, so this accepts no more than a check does.
+        return msgspec.convert(plain, kind)
+    except msgspec.ValidationError:
+        return checking.convert(plain, kind, source)
 
 
 def _faults_of_steps(steps, source):
--- a/packages/core/banyanwheel_core/findings.py
+++ b/packages/core/banyanwheel_core/findings.py
@@ -2,7 +2,9 @@
 
 from dataclasses import dataclass
 
-__all__ = ["Finding"]
+__all__ = ["MAX_FINDINGS", "Finding"]
+
+MAX_FINDINGS = 100  # reported of one input; one body can have a hundred thousand
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/core/test_documents.py
+++ b/tests/core/test_documents.py
@@ -1,7 +1,15 @@
+import json
+
 import pytest
 
-from banyanwheel_core.documents import ConfigurationDocument, JobDocument, StepDocument
+from banyanwheel_core.documents import (
+    MAX_TASKS,
+    ConfigurationDocument,
+    JobDocument,
+    StepDocument,
+)
 from banyanwheel_core.errors import FindingsError
+from banyanwheel_core.findings import MAX_FINDINGS
 
 NESTED = "[" * 5000 + "1" + "]" * 5000
 QUEUE = '{"name": "q", "host": "h", "prefix": "/p/", "service": "s"}'
@@ -48,6 +56,31 @@
     assert places(caught) == {"queue", "steps[0].cpu", "steps[1].gpus", "stored"}
 
 
+@pytest.mark.parametrize(
+    "steps",
+    [
+        [0] * 9_000,
+        [{"after": [9] * 9_000}],
+        [{"after": [-1] * 9_000}],
+        [{f"x{number}": 1 for number in range(9_000)}],
+    ],
+    ids=["steps", "later", "negative", "unknown"],
+)
+def test_the_first_faults_of_many_are_told(steps):
+    """Those of one body took 300 MB."""
+    text = json.dumps({"queue": "q", "steps": steps})
+    with pytest.raises(FindingsError) as caught:
+        JobDocument.from_json(text.encode())
+    assert len(caught.value.findings) == MAX_FINDINGS
+
+
+def test_more_steps_than_tasks_are_one_fault():
+    text = json.dumps({"queue": "q", "steps": [{}] * (MAX_TASKS + 1)})
+    with pytest.raises(FindingsError, match="10001 entries, more than 10000") as caught:
+        JobDocument.from_json(text.encode())
+    assert places(caught) == {"steps"}
+
+
 def test_a_configuration_is_read_from_toml_and_json():
     toml = '[[queues]]\nname = "q"\nhost = "h"\nprefix = "/p/"\nservice = "s"\n'
     read = ConfigurationDocument.from_toml(toml)
--- a/tests/daemon/untrusted_clients.py
+++ b/tests/daemon/untrusted_clients.py
@@ -117,6 +117,12 @@
     yield server.head(number, *lines, "Content-Length: 10")
 
 
+def _faulty(server, number, *, steps):
+    """Yields a job of steps that are none."""
+    body = b'{"queue":"counter","steps":[' + b",".join([b"0"] * steps) + b"]}"
+    yield server.head(number, f"Content-Length: {len(body)}") + body
+
+
 @dataclass(frozen=True, slots=True)
 class _Attack:
     clients: int
@@ -139,6 +145,7 @@
     "whole": _Attack(60, _whole),
     "whole-waiting": _Attack(100, partial(_whole, step=TOO_LARGE_TASK, size=200)),
     "whole-stored": _Attack(60, partial(_whole, stored=True)),
+    "faulty-steps": _Attack(20, partial(_faulty, steps=120_000)),
 }
 # For processes whose memory, not their descriptors, limits the connections.
 MANY_CONNECTIONS = {
