--- a/tests/platform/test_http_server.py
+++ b/tests/platform/test_http_server.py
@@ -1,7 +1,9 @@
 """What the server does with single connections, within one process."""
 
 import asyncio
+import gc
 import logging
+import weakref
 
 import pytest
 
@@ -228,3 +230,28 @@
         writer.close()
 
     play(scenario)
+
+
+@pytest.mark.parametrize("sent", [POST, WHOLE[:-1]])
+def test_a_connection_that_ends_leaves_no_work_for_the_garbage_collector(play, sent):
+    """Thousands of them filled the memory between two of its runs."""
+
+    async def scenario(world):
+        gc.collect()
+        gc.disable()
+        try:
+            _, writer = await world.send(sent)
+            await world.wait_for(lambda: world.budget.connections)
+            clients = [each.close.__self__ for each in world.budget.expire(1e9)]
+            references = [weakref.ref(client.stream) for client in clients]
+            for client in clients:
+                client.close()
+            del client, clients
+            world.requests.clear()
+            await world.wait_for(lambda: all(each() is None for each in references))
+            assert references
+            writer.close()
+        finally:
+            gc.enable()
+
+    play(scenario)
