A connection that is given up is no longer read

Callers saw a process run out of memory beside bodies of tiny chunks without an end. tornado goes on reading what is in the buffer of a closed stream, so a connection that the budget had given up held its 16 KB, and took turns from those that were open, until all of its 2,700 chunks were read. Whole requests in its buffer were even served, to nobody.

Such a connection reads nothing more, and its wait for a turn ends at once.

--- a/tests/daemon/untrusted_clients.py
+++ b/tests/daemon/untrusted_clients.py
@@ -151,6 +151,7 @@
 MANY_CONNECTIONS = {
     "query-arguments": _Attack(300, partial(_query, arguments=990)),
     "header-fields": _Attack(300, partial(_fields, fields=2_000)),
+    "endless-chunks": _Attack(900, partial(_chunked, chunks=32 * KIB, size=1), waves=3),
 }
 
 
--- a/tests/platform/test_http_server.py
+++ b/tests/platform/test_http_server.py
@@ -232,6 +232,37 @@
     play(scenario)
 
 
+def test_what_a_connection_has_sent_is_not_read_once_it_is_given_up(play):
+    """Requests in its buffer were served, to nobody, and its chunks took turns."""
+
+    async def scenario(world):
+        _, writer = await world.send(WHOLE + WHOLE)
+        await world.wait_for(lambda: world.requests)
+        world.requests[0].connection.context.close()
+        await world.wait_for(lambda: not world.budget.connections)
+        assert len(world.requests) == 1
+        writer.close()
+
+    play(scenario)
+
+
+def test_a_connection_that_is_given_up_waits_for_no_turn(play):
+    async def scenario(world):
+        chunks = b"1\r\nx\r\n" * 100 * CHUNKS_PER_TURN
+        _, writer = await world.send(
+            POST + b"Transfer-Encoding: chunked\r\n\r\n" + chunks
+        )
+        await world.wait_for(lambda: world.budget.connections)
+        (account,) = world.budget.expire(asyncio.get_running_loop().time() + 1_000)
+        account.close()
+        for _ in range(3):
+            await asyncio.sleep(0)
+        assert account.close is None
+        writer.close()
+
+    play(scenario)
+
+
 @pytest.mark.parametrize("sent", [POST, WHOLE[:-1]])
 def test_a_connection_that_ends_leaves_no_work_for_the_garbage_collector(play, sent):
     """Thousands of them filled the memory between two of its runs."""
