--- a/tests/daemon/untrusted_clients.py
+++ b/tests/daemon/untrusted_clients.py
@@ -117,6 +117,13 @@
     yield server.head(number, *lines, "Content-Length: 10")
 
 
+def _pipelined(server, number, *, requests):
+    """Yields whole requests in one piece; their answers are never read."""
+    method, path = server.ordinary
+    head = f"{method} {path} HTTP/1.1\r\nHost: {server.host}\r\n\r\n"
+    yield head.encode() * requests
+
+
 def _faulty(server, number, *, steps):
     """Yields a job of steps that are none."""
     body = b'{"queue":"counter","steps":[' + b",".join([b"0"] * steps) + b"]}"
@@ -152,6 +159,7 @@
     "query-arguments": _Attack(300, partial(_query, arguments=990)),
     "header-fields": _Attack(300, partial(_fields, fields=2_000)),
     "endless-chunks": _Attack(900, partial(_chunked, chunks=32 * KIB, size=1), waves=3),
+    "pipelined": _Attack(300, partial(_pipelined, requests=4_000)),
 }
 
 
--- a/tests/platform/test_http_server.py
+++ b/tests/platform/test_http_server.py
@@ -171,6 +171,20 @@
     play(scenario)
 
 
+def test_a_request_that_is_answered_is_no_longer_served(play):
+    """A set of clients that had all just been answered kept any new one out."""
+
+    async def scenario(world):
+        _, writer = await world.send(WHOLE)
+        await world.wait_for(lambda: world.requests)
+        assert world.budget.expire(1e9) == []
+        answer(world.requests[0], 200, b"done")
+        assert len(world.budget.expire(1e9)) == 1
+        writer.close()
+
+    play(scenario)
+
+
 def test_small_chunks_take_turns_and_lose_nothing(play):
     async def scenario(world):
         chunks = 3 * CHUNKS_PER_TURN
--- a/tests/platform/test_request_budget.py
+++ b/tests/platform/test_request_budget.py
@@ -5,6 +5,8 @@
 import pytest
 
 from banyanwheel_platform.request_budget import (
+    ADMISSION_GRACE_S,
+    CALLERS_SHARE,
     CHUNK_BYTES,
     CONNECTION_BYTES,
     TIMEOUTS_S,
@@ -127,6 +129,29 @@
     assert set(world.counted) == {"connection-limit"}
 
 
+def test_clients_that_were_answered_make_room_before_new_ones(world):
+    """Those that send one request after another kept all connections."""
+    limit = int(LIMITS.connections * CALLERS_SHARE)
+    for number in range(limit):
+        world.open(number, now=0.0, phase=Phase.SERVING)
+    for turn in range(1, 10):
+        assert world.open(f"new {turn}", now=turn / 10, phase=Phase.IDLE) == (turn > 1)
+        for number in range(limit):
+            world.budget.enter(world.accounts[number], Phase.IDLE, turn / 10 + 0.01)
+    assert world.closed == list(range(8))
+
+
+def test_silent_clients_make_room_before_others(world):
+    limit = int(LIMITS.connections * CALLERS_SHARE)
+    world.open("silent", now=0.0, phase=Phase.HEADER)
+    for number in range(limit - 1):
+        world.open(number, now=0.0, phase=Phase.SERVING)
+        world.budget.enter(world.accounts[number], Phase.IDLE, 1.0)
+    world.open("new", now=ADMISSION_GRACE_S, phase=Phase.IDLE)
+    world.open("newer", now=ADMISSION_GRACE_S + 0.5, phase=Phase.IDLE)
+    assert world.closed == [0, "silent"]
+
+
 def test_probes_get_in_while_callers_wait_on_all_their_connections(world):
     admitted = [
         world.open(number, phase=Phase.SERVING)
