A runner checks eight senders of heartbeats at a time

A runner ran out of memory beside heartbeats of workers that it doesn't have: each names another life, so each was called up to five times, and held its heartbeat (1.5 MB for 24,000 labels) and a connection for as long. Nothing bounded their number, and the connections were not counted.

At most eight are checked; the oldest one makes room. The worker of the machine answers at once, so it is used however many strangers there are.

--- a/packages/daemon/banyanwheel_daemon/worker_verifier.py
+++ b/packages/daemon/banyanwheel_daemon/worker_verifier.py
@@ -1,16 +1,24 @@
 """Whether a worker that a heartbeat names answers its runner."""
 
 import asyncio
+from dataclasses import dataclass
 
 from banyanwheel_jobs.ports import WorkerFenced, WorkerReplaced, WorkerUnavailable
 from banyanwheel_platform.worker import WorkerClient
 
-__all__ = ["WorkerVerifier"]
+__all__ = ["MAX_CHECKS", "WorkerVerifier"]
 
+MAX_CHECKS = 8  # at a time; each holds a heartbeat and a connection
 TRIES = 5
 RETRY_DELAY_S = 0.05
 
 
+@dataclass(slots=True, eq=False)
+class _Check:
+    heartbeat: object  # the newest of its sender
+    task: object = None
+
+
 class WorkerVerifier:
     """Checks whether those that heartbeats name are workers of this machine.
 
@@ -25,28 +33,43 @@
         self._on_answer = on_answer
         self._on_refusal = on_refusal
         self._spawn = spawn
-        self._heartbeats = {}  # the newest by what is checked
+        self._checks = {}  # by what is checked, the oldest first
 
     def verify(self, heartbeat):
-        """Checks the sender of a heartbeat, unless that is under way."""
+        """Checks the sender of a heartbeat, unless that is under way.
+
+        Beyond ``MAX_CHECKS`` the oldest one is given up: the worker of this machine
+        answers at once.
+        """
         key = (heartbeat.incarnation, heartbeat.service, heartbeat.address)
-        known = self._heartbeats.get(key)
-        if known is None or heartbeat.sequence > known.sequence:
-            self._heartbeats[key] = heartbeat
-        if known is None:
-            self._spawn(self._check(key, heartbeat))
+        known = self._checks.get(key)
+        if known is not None:
+            if heartbeat.sequence > known.heartbeat.sequence:
+                known.heartbeat = heartbeat
+            return
+        if len(self._checks) >= MAX_CHECKS:
+            displaced = self._checks.pop(next(iter(self._checks)))
+            displaced.task.cancel()
+            displaced.task = None  # whose frame refers to the check
+            self._on_refusal(displaced.heartbeat, "displaced")
+        check = self._checks[key] = _Check(heartbeat)
+        check.task = self._spawn(self._check(key, check))
 
-    async def _check(self, key, heartbeat):
-        client = WorkerClient(heartbeat.address, heartbeat.worker_id, heartbeat.born_ms)
+    async def _check(self, key, check):
+        first = check.heartbeat
+        client = WorkerClient(first.address, first.worker_id, first.born_ms)
         try:
             reason = await self._refusal_reason(client)
-        finally:
-            newest = self._heartbeats.pop(key)
+        except asyncio.CancelledError:
+            client.close()
+            raise
+        del self._checks[key]
+        check.task = None
         if reason:
             client.close()
-            self._on_refusal(newest, reason)
+            self._on_refusal(check.heartbeat, reason)
         else:
-            self._on_answer(newest, client)
+            self._on_answer(check.heartbeat, client)
 
     async def _refusal_reason(self, client):
         """Returns why a sender is not used, an empty string for one that answers."""
--- a/tests/daemon/test_foreign_heartbeats.py
+++ b/tests/daemon/test_foreign_heartbeats.py
@@ -14,6 +14,7 @@
 from banyanwheel_daemon.context import Environment
 from banyanwheel_daemon.runner import RunnerRole
 from banyanwheel_daemon.settings import Log, Process, RunnerSettings, Worker
+from banyanwheel_daemon.worker_verifier import MAX_CHECKS
 from banyanwheel_jobs.messages import Assignment, Heartbeat, StartTasks
 from banyanwheel_jobs.model import TRANSIENT_PARTITION, Resources, TaskId
 from banyanwheel_platform.http import HttpClient, answer
@@ -336,3 +337,20 @@
         await until(lambda: site.in_use)
 
     play(scenario)
+
+
+def test_a_worker_is_used_beside_any_number_of_strangers():
+    """Each of them was called, and held its heartbeat, for seconds."""
+
+    async def scenario(site):
+        stranger = WorkerProcess("stranger")
+        stranger.silent = True
+        for number in range(3 * MAX_CHECKS):
+            await site.put(f"s-{number}", BORN, 1, address=stranger.address)
+        assert site.refusals == 2 * MAX_CHECKS
+        await site.put_own(1)
+        await until(lambda: site.in_use)
+        assert site.refusals == 2 * MAX_CHECKS + 1
+        await stranger.close()
+
+    play(scenario)
--- a/tests/daemon/untrusted_clients.py
+++ b/tests/daemon/untrusted_clients.py
@@ -29,6 +29,7 @@
 ANSWER_ATTEMPTS = 200
 ANSWER_PAUSE_S = 0.1
 KIB = 1_024
+UNUSED_PORT = 1
 MANY_TASKS = {"count": 10_000, "cpu": 1_000}
 TOO_LARGE_TASK = {"count": 1, "cpu": 1_000_000}  # no worker can run it, so it waits
 
@@ -124,6 +125,20 @@
     yield head.encode() * requests
 
 
+def _stranger(server, number, *, labels):
+    """Yields the heartbeat of a worker that is none."""
+    beat = {
+        "service": "desk",
+        "address": f"127.0.0.1:{UNUSED_PORT}",
+        "state": "ready",
+        "seq": 1,
+        "capacity": {"cpu": 1_000},
+        "labels": [f"{each:05}" for each in range(labels)],
+    }
+    body = json.dumps(beat).encode()
+    yield server.head(number, f"Content-Length: {len(body)}") + body
+
+
 def _faulty(server, number, *, steps):
     """Yields a job of steps that are none."""
     body = b'{"queue":"counter","steps":[' + b",".join([b"0"] * steps) + b"]}"
@@ -160,6 +175,7 @@
     "header-fields": _Attack(300, partial(_fields, fields=2_000)),
     "endless-chunks": _Attack(900, partial(_chunked, chunks=32 * KIB, size=1), waves=3),
     "pipelined": _Attack(300, partial(_pipelined, requests=4_000)),
+    "strangers": _Attack(300, partial(_stranger, labels=24_000)),
 }
 
 
