--- a/tests/daemon/test_untrusted_clients.py
+++ b/tests/daemon/test_untrusted_clients.py
@@ -5,6 +5,7 @@
 """
 
 import json
+from contextlib import ExitStack
 
 import pytest
 
@@ -18,6 +19,7 @@
     MANY_CONNECTIONS,
     MANY_TASKS,
     MAX_BODY_BYTES,
+    MIXED,
     SERVERS,
     Crowd,
     call_until,
@@ -87,6 +89,23 @@
     assert descriptors <= max_descriptors
 
 
+@pytest.mark.parametrize("daemon", ["dispatcher-1", "runner-1"])
+def test_all_crowds_at_once_leave_the_process_within_its_limits(tmp_path, daemon):
+    """The limits hold for all servers of a process together."""
+    servers = [server for server in SERVERS.values() if server.daemon == daemon]
+    with Cluster(MANY, tmp_path) as cluster, ExitStack() as crowds:
+        sent = []
+        for server in servers:
+            crowd = crowds.enter_context(
+                Crowd(server, cluster.address(daemon, server.name))
+            )
+            sent.append(in_thread(crowd.send, MIXED))
+        for result in sent:
+            result()
+        for server in servers:
+            check_limits(cluster, server, MIXED, MORE_DESCRIPTORS)
+
+
 @pytest.fixture(scope="module")
 def calm(tmp_path_factory):
     """A cluster for tests without crowds."""
--- a/tests/daemon/untrusted_clients.py
+++ b/tests/daemon/untrusted_clients.py
@@ -16,6 +16,7 @@
     "MANY_CONNECTIONS",
     "MANY_TASKS",
     "MAX_BODY_BYTES",
+    "MIXED",
     "SERVERS",
     "Crowd",
     "Server",
@@ -179,6 +180,15 @@
 }
 
 
+def _mixed(server, number):
+    """Yields the request of a client of any of the attacks, in turn."""
+    attacks = [*ATTACKS.values(), *MANY_CONNECTIONS.values()]
+    yield from attacks[number % len(attacks)].pieces(server, number)
+
+
+MIXED = _Attack(280, _mixed)
+
+
 class Crowd:
     """Clients that send their requests and stay; those that are closed are left."""
 
