What has come of the next request counts while one is served

Bytes that came with a whole request and follow it stay in tornado's buffer until the request is answered, up to 16 KB a connection. They were forgotten when the body of the request was released, so a crowd of waiting jobs held more than it was charged with.

--- a/tests/platform/test_http_server.py
+++ b/tests/platform/test_http_server.py
@@ -112,6 +112,42 @@
     play(scenario)
 
 
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_what_follows_a_request_counts_while_it_is_served(play, framing):
+    """Each connection could hold 16 KB that nothing counted."""
+
+    async def scenario(world):
+        request = WHOLE
+        if framing == "chunks":
+            body = b"1\r\nx\r\n" * 4 + b"0\r\n\r\n"
+            request = POST + b"Transfer-Encoding: chunked\r\n\r\n" + body
+        following = b"x" * 10_000
+        _, writer = await world.send(request + following)
+        await world.wait_for(lambda: world.requests)
+        world.requests[0].release_body()
+        held = world.budget.charged - CONNECTION_BYTES
+        assert len(following) <= held <= len(request + following)
+        answer(world.requests[0], 200)
+        assert world.budget.charged - CONNECTION_BYTES == held
+        writer.close()
+
+    play(scenario)
+
+
+def test_requests_that_follow_each_other_hold_nothing_in_the_end(play):
+    async def scenario(world):
+        world.server.handle = lambda request: (
+            world.requests.append(request),
+            answer(request, 200, b"{}"),
+        )
+        _, writer = await world.send(WHOLE * 500)
+        await world.wait_for(lambda: len(world.requests) == 500)
+        await world.wait_for(lambda: world.budget.charged == CONNECTION_BYTES)
+        writer.close()
+
+    play(scenario)
+
+
 def test_a_client_that_does_not_take_its_answer_makes_room_for_others(play):
     """Answers that nobody reads would fill the memory as requests do."""
 
