--- a/tests/platform/test_http_server.py
+++ b/tests/platform/test_http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import logging
+import socket
 import weakref
 
 import pytest
@@ -11,6 +12,7 @@
 from banyanwheel_platform.http_server import (
     CHUNKS_PER_TURN,
     MAX_ARGUMENTS,
+    RECEIVE_BUFFER_BYTES,
     ChunkTurns,
     HttpServer,
 )
@@ -134,6 +136,20 @@
     play(scenario)
 
 
+def test_the_kernel_keeps_little_of_what_is_not_read_yet(play):
+    """It grows such a buffer to megabytes, and the platform counts it."""
+
+    async def scenario(world):
+        _, writer = await world.send(WHOLE)
+        await world.wait_for(lambda: world.requests)
+        connected = world.requests[0].connection.stream.socket
+        size = connected.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+        assert size <= 2 * RECEIVE_BUFFER_BYTES  # the kernel's own share included
+        writer.close()
+
+    play(scenario)
+
+
 def test_requests_that_follow_each_other_hold_nothing_in_the_end(play):
     async def scenario(world):
         world.server.handle = lambda request: (
