Requests that wait for the log are bounded, with and without their clients

While the log was silent, 300 clients that asked for unknown jobs with a deadline of ten minutes held all connections: ordinary callers got resets for as long (200 of 200 calls). Where the clients left at once, their requests stayed until the log answered or the deadline passed: 22,500 of them took 52 to 80 MB. A request that is being served is never closed, and nothing bounded those without a job; nor did a dispatcher that waits for the log know copies of a request that another one sends every 0.6 s.

Requests without a job that have to wait get 503 once those that are served hold 13/16 of the connections, or as many wait without them; counts and known states are still answered. A request for a state ends with its connection. A dispatcher keeps one copy of a forwarded request, and 4,096 in all.

--- a/packages/daemon/banyanwheel_daemon/operations.py
+++ b/packages/daemon/banyanwheel_daemon/operations.py
@@ -164,9 +164,7 @@
         )
 
     async def _cancel(self, job_id):
-        reply = await self._gateway.await_reply(
-            self._gateway.cancel, job_id, CANCEL_TIMEOUT_S
-        )
+        reply = await self._gateway.await_cancel(job_id, CANCEL_TIMEOUT_S)
         match reply.outcome:
             case Outcome.STATE:
                 result = str(reply.state)
--- a/packages/daemon/banyanwheel_daemon/operator_server.py
+++ b/packages/daemon/banyanwheel_daemon/operator_server.py
@@ -92,10 +92,8 @@
                 self._explain_where(request)
             case "PUT" if job:
                 await self._put_job(request, job[1])
-            case "GET" if job:
-                await self._reply_to(request, self._gateway.state, job[1])
-            case "DELETE" if job:
-                await self._reply_to(request, self._gateway.cancel, job[1])
+            case "GET" | "DELETE" if job:
+                await self._reply_to(request, job[1])
             case _:
                 answer_problem(request, _no_such_path(request))
 
@@ -106,6 +104,8 @@
 
         from .operations import OperationError
 
+        if not self._may_wait(request):
+            return
         try:
             command = parse(request.body.decode())
             request.release_body()
@@ -163,10 +163,25 @@
         else:
             self._answer(request, job_id, reply)
 
-    async def _reply_to(self, request, method, job_id):
-        if _check_id(request, job_id):
-            reply = await self._gateway.await_reply(method, job_id, _wait_s(request))
-            self._answer(request, job_id, reply)
+    async def _reply_to(self, request, job_id):
+        """Answers with the state of a job, which DELETE cancels."""
+        if not (_check_id(request, job_id) and self._may_wait(request)):
+            return
+        wait_s = _wait_s(request)
+        if request.method == "DELETE":
+            reply = await self._gateway.await_cancel(job_id, wait_s)
+        else:
+            reply = await self._gateway.await_state(
+                job_id, wait_s, _on_disconnect(request)
+            )
+        self._answer(request, job_id, reply)
+
+    def _may_wait(self, request):
+        """Whether one more request may wait; answers it otherwise."""
+        if self._server.budget.may_wait(len(self._tasks)):
+            return True
+        answer_problem(request, _BUSY)
+        return False
 
     def _answer(self, request, job_id, reply):
         if reply.outcome is Outcome.STATE:
--- a/packages/daemon/banyanwheel_daemon/ownership.py
+++ b/packages/daemon/banyanwheel_daemon/ownership.py
@@ -1,6 +1,8 @@
 """Ownership of partitions by group membership, and appends of their records."""
 
 import asyncio
+import itertools
+from functools import partial
 
 from banyanwheel_jobs.ports import AppendOutcome, LogUnavailable
 
@@ -68,7 +70,8 @@
         self._write_tasks = {}
         self._leaving = False
         self._log_lost = False
-        self._confirmations = []
+        self._confirmations = {}  # (time, callback) by number
+        self._confirmation_numbers = itertools.count()
         self._stalled_since = {}
         self._check_fences_until = 0.0
         self._checked = set()  # (partition, epoch) with an answer to a later check
@@ -115,8 +118,13 @@
         self._renewal_due.set()
 
     def call_when_confirmed(self, callback):
-        """Calls ``callback()`` once a renewal sent from now on has been confirmed."""
-        self._confirmations.append((self._now(), callback))
+        """Calls ``callback()`` once a renewal sent from now on has been confirmed.
+
+        Returns a function that takes this back.
+        """
+        number = next(self._confirmation_numbers)
+        self._confirmations[number] = self._now(), callback
+        return partial(self._confirmations.pop, number, None)
 
     async def leave(self):
         """Flushes queued records, closes all partitions and leaves the group."""
@@ -134,9 +142,7 @@
         self._spent.clear()
         await self._flush_and_close(list(self._owner.partitions), reason)
         await self._leave_group()
-        callbacks, self._confirmations = self._confirmations, []
-        for _, callback in callbacks:
-            callback()
+        self._confirm(float("inf"))
 
     async def _leave_group(self):
         """Ends the membership of this process, or of a former one with its name.
@@ -200,14 +206,17 @@
                 task.add_done_callback(self._log_fault)
         if not verified:
             return changed
-        due = [entry for entry in self._confirmations if entry[0] <= sent_at]
-        self._confirmations = [
-            entry for entry in self._confirmations if entry[0] > sent_at
-        ]
-        for _, callback in due:
-            callback()
+        self._confirm(sent_at)
         return changed
 
+    def _confirm(self, sent_at):
+        """Calls those back that have asked before a renewal was sent."""
+        waiting = self._confirmations.items()
+        for number in [each for each, (asked_at, _) in waiting if asked_at <= sent_at]:
+            _, callback = self._confirmations.pop(number, (0.0, None))
+            if callback is not None:
+                callback()
+
     async def _close_fenced(self):
         """Closes the partitions that other members have opened since.
 
--- a/packages/daemon/banyanwheel_daemon/request_gateway.py
+++ b/packages/daemon/banyanwheel_daemon/request_gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from functools import partial
 
 from banyanwheel_jobs.messages import ForwardedReply, ForwardedRequest
 from banyanwheel_jobs.model import JobState, Step, Submission, partition_of
@@ -18,6 +19,8 @@
 # The last resend comes after a dead connection is replaced, which takes up to a second.
 CANCEL_RESENDS_S = (0.0, 0.4, 1.2)
 MAX_PENDING_COUNT_AGE_S = 1.9
+# Requests of other dispatchers that wait for the log to confirm; they come again.
+MAX_UNCONFIRMED = 4_096
 
 
 @dataclass(slots=True, eq=False)
@@ -28,6 +31,7 @@
     started_at: float
     copies_in_flight: int = 0  # sent to an owner and not answered yet
     timer: object = None
+    forget: object = None  # takes back the wait for a confirmation by the log
     done: bool = False
 
 
@@ -76,6 +80,7 @@
         self._ownership = ownership
         self._owner_addresses = {}  # by partition
         self._pending_counts = {}  # by address of the dispatcher
+        self._unconfirmed = set()  # (entry, number) of other dispatchers' requests
         self._requests = HeldTable(lambda each: submission_bytes(each.ask.steps))
         self._admits = admits
         self._numbers = numbers
@@ -92,6 +97,11 @@
         """The number of requests that have not been answered."""
         return len(self._requests) + len(self._transient)
 
+    @property
+    def waiting_requests(self):
+        """The number of unanswered requests, but for transient jobs."""
+        return len(self._requests)
+
     @property
     def held_bytes(self):
         """The memory that the submissions of unanswered requests take."""
@@ -108,10 +118,22 @@
 
     # Requests of callers
 
-    async def await_reply(self, method, job_id, deadline_s):
-        """Calls ``state`` or ``cancel`` and returns the Reply."""
+    async def await_state(self, job_id, deadline_s, on_disconnect):
+        """Requests a job's state and returns the Reply.
+
+        ``on_disconnect(callback)`` registers a function to be called when the caller
+        disconnects, which ends the wait.
+        """
+        future = asyncio.get_running_loop().create_future()
+        abandon = self.state(job_id, _result_setter(future), deadline_s)
+        if not future.done():
+            on_disconnect(_leave_function(future, abandon))
+        return await future
+
+    async def await_cancel(self, job_id, deadline_s):
+        """Cancels a job and returns the Reply."""
         future = asyncio.get_running_loop().create_future()
-        method(job_id, _result_setter(future), deadline_s)
+        self.cancel(job_id, _result_setter(future), deadline_s)
         return await future
 
     async def submit_document(
@@ -142,15 +164,8 @@
             self.submit(*arguments)
             return await future
         abandon = self.run(*arguments, is_connected)
-
-        def caller_left():
-            if not future.done():
-                abandon()
-                # Nobody reads this reply, but without it the awaiting task never ends.
-                future.set_result(Reply(Outcome.IN_DOUBT))
-
         if on_disconnect is not None and not future.done():
-            on_disconnect(caller_left)
+            on_disconnect(_leave_function(future, abandon))
         return await future
 
     def submit(self, job_id, queue, spec, steps, reply, deadline_s):
@@ -171,13 +186,16 @@
         )
 
     def state(self, job_id, reply, deadline_s):
-        """Requests a job's state; ``reply`` is called with a Reply."""
+        """Requests a job's state and returns a function that abandons the request.
+
+        ``reply`` is called with a Reply, but not after the request was abandoned.
+        """
         job = self._owner.transient.jobs.get(job_id)
         if job is not None:
             reply(Reply(Outcome.STATE, job.state))
-            return
+            return _nothing
         ask = ForwardedRequest(next(self._numbers), "state", job_id)
-        self._start_request(ask, reply, deadline_s)
+        return partial(self._abandon, self._start_request(ask, reply, deadline_s))
 
     def cancel(self, job_id, reply, deadline_s):
         """Cancels a stored or transient job at whichever dispatcher has it.
@@ -217,6 +235,7 @@
         deadline = now + max(MIN_WAIT_S, deadline_s - ANSWER_MARGIN_S)
         self._requests[ask.number] = request = _Request(ask, reply, deadline, now)
         self._try_request(request)
+        return request
 
     def _partition_of(self, job_id):
         return partition_of(job_id, self._partitions)
@@ -230,7 +249,11 @@
             return
         if self._partition_of(request.ask.job_id) in self._owner.partitions:
             request.copies_in_flight += 1
-            self._serve(request.ask, lambda answer: self._take_reply(request, answer))
+            self._serve(
+                request.ask,
+                lambda answer: self._take_reply(request, answer),
+                lambda forget: setattr(request, "forget", forget),
+            )
             self._schedule_timeout(request)
             return
         address = self._owner_addresses.get(self._partition_of(request.ask.job_id))
@@ -277,11 +300,17 @@
             return
         self._finish(request, reply)
 
-    def _finish(self, request, reply):
+    def _abandon(self, request):
+        """Ends a request without a reply."""
         request.done = True
         if request.timer is not None:
             request.timer.cancel()
+        if request.forget is not None:
+            request.forget()
         self._requests.pop(request.ask.number, None)
+
+    def _finish(self, request, reply):
+        self._abandon(request)
         if reply.outcome in (Outcome.NOT_STORED, Outcome.IN_DOUBT):
             self._event_log(
                 "request:refused",
@@ -306,12 +335,13 @@
 
     # Requests for local partitions
 
-    def _serve(self, ask, reply):
+    def _serve(self, ask, reply, on_wait):
+        """Serves a request; ``on_wait(forget)`` is called if it waits for the log."""
         match ask.verb:
             case "submit":
                 self._serve_submit(ask, reply)
             case "state" | "cancel":
-                self._serve_known(ask, self._confirm_unknown(ask, reply))
+                self._serve_known(ask, self._confirm_unknown(ask, reply, on_wait))
 
     def _serve_known(self, ask, reply):
         if ask.verb == "state":
@@ -332,7 +362,7 @@
         )
         self._owner.submit(submission, reply, self._now())
 
-    def _confirm_unknown(self, ask, reply):
+    def _confirm_unknown(self, ask, reply, on_wait):
         """Wraps ``reply`` to report an unknown job only after a new confirmation.
 
         Once a renewal sent from then on has confirmed the ownership, the request is
@@ -343,8 +373,10 @@
             if answer.outcome is not Outcome.UNKNOWN_JOB:
                 reply(answer)
             else:
-                self._ownership.call_when_confirmed(
-                    lambda: self._serve_known(ask, reply)
+                on_wait(
+                    self._ownership.call_when_confirmed(
+                        lambda: self._serve_known(ask, reply)
+                    )
                 )
 
         return checked_reply
@@ -361,7 +393,12 @@
             self._owner.cancel_transient(ask.job_id)
             return
 
+        key = entry, ask.number
+        if key in self._unconfirmed or len(self._unconfirmed) >= MAX_UNCONFIRMED:
+            return
+
         def reply(answer):
+            self._unconfirmed.discard(key)
             self._send_reply(
                 entry,
                 ForwardedReply(
@@ -369,7 +406,7 @@
                 ),
             )
 
-        self._serve(ask, reply)
+        self._serve(ask, reply, lambda forget: self._unconfirmed.add(key))
 
     def handle_reply(self, answer):
         """Completes a forwarded request with its owner's answer."""
@@ -390,6 +427,22 @@
         self._pending_counts[address] = _PendingCounts(self._now(), claims.pending)
 
 
+def _nothing():
+    pass
+
+
+def _leave_function(future, abandon):
+    """Returns a function for the end of the connection of a caller that waits."""
+
+    def caller_left():
+        if not future.done():
+            abandon()
+            # Nobody reads this reply, but without it the awaiting task never ends.
+            future.set_result(Reply(Outcome.IN_DOUBT))
+
+    return caller_left
+
+
 def _result_setter(future):
     """Returns a function that sets the result of a future unless it is done."""
 
--- a/tests/daemon/test_ownership.py
+++ b/tests/daemon/test_ownership.py
@@ -175,6 +175,22 @@
     return asyncio.run(run())
 
 
+def test_a_wait_for_a_confirmation_can_be_taken_back():
+    async def run():
+        _, ownership, _ = open_ownership(ScriptedLog([Membership(1, {0})] * 3))
+        await ownership._renew()
+        called = []
+        forget = ownership.call_when_confirmed(lambda: called.append("forgotten"))
+        ownership.call_when_confirmed(lambda: called.append("kept"))
+        forget()
+        forget()
+        await asyncio.sleep(0.01)
+        await ownership._renew()
+        return called
+
+    assert asyncio.run(run()) == ["kept"]
+
+
 def test_a_partition_owned_by_another_in_between_is_reopened():
     """A partition must be read again if another member owned it in between.
 
--- a/tests/daemon/test_request_gateway.py
+++ b/tests/daemon/test_request_gateway.py
@@ -3,8 +3,12 @@
 import pytest
 
 from banyanwheel_core.documents import JobDocument
-from banyanwheel_daemon.request_gateway import OWNER_RETRY_S, RESEND_S
-from banyanwheel_jobs.messages import Claims, ForwardedReply
+from banyanwheel_daemon.request_gateway import (
+    MAX_UNCONFIRMED,
+    OWNER_RETRY_S,
+    RESEND_S,
+)
+from banyanwheel_jobs.messages import Claims, ForwardedReply, ForwardedRequest
 from banyanwheel_jobs.model import JobState, Queue, Resources, Step, Submission
 from banyanwheel_jobs.outcomes import Outcome
 from banyanwheel_jobs.ports import KeyedRecord
@@ -128,6 +132,12 @@
     def call_when_confirmed(self, callback):
         self.callbacks.append(callback)
 
+        def forget():
+            if callback in self.callbacks:
+                self.callbacks.remove(callback)
+
+        return forget
+
     def confirm(self):
         callbacks, self.callbacks = self.callbacks, []
         for callback in callbacks:
@@ -225,3 +235,45 @@
     assert (address, request.verb) == ("other", "submit")
     gateway.handle_reply(ForwardedReply(request.number, Outcome.ACCEPTED))
     assert [reply.outcome for reply in replies] == [Outcome.ACCEPTED]
+
+
+def test_nothing_is_left_of_a_request_that_was_abandoned():
+    """Requests whose callers had left stayed until the log answered."""
+
+    async def run():
+        ownership, replies = ConfirmingOwnership(), []
+        gateway = build_gateway(open_owner(), 4, ownership=ownership)
+        abandon = gateway.state("a" * 16, replies.append, 600.0)
+        assert (gateway.waiting_requests, len(ownership.callbacks)) == (1, 1)
+        abandon()
+        assert (gateway.waiting_requests, ownership.callbacks) == (0, [])
+        assert replies == []
+
+    asyncio.run(run())
+
+
+def test_copies_of_a_forwarded_request_wait_once():
+    """Another dispatcher sends a request anew until it has an answer."""
+    ownership, answers = ConfirmingOwnership(), []
+    gateway = build_gateway(
+        open_owner(),
+        4,
+        ownership=ownership,
+        send_reply=lambda entry, answer: answers.append((entry, answer.number)),
+    )
+    for _ in range(3):
+        for entry in ("one", 1), ("two", 1):
+            gateway.handle_ask(entry, ForwardedRequest(7, "state", "a" * 16))
+    assert len(ownership.callbacks) == 2
+    ownership.confirm()
+    assert answers == [(("one", 1), 7), (("two", 1), 7)]
+    gateway.handle_ask(("one", 1), ForwardedRequest(7, "state", "a" * 16))
+    assert len(ownership.callbacks) == 1
+
+
+def test_requests_of_other_dispatchers_that_wait_are_bounded():
+    ownership = ConfirmingOwnership()
+    gateway = build_gateway(open_owner(), 4, ownership=ownership)
+    for number in range(MAX_UNCONFIRMED + 10):
+        gateway.handle_ask(("one", 1), ForwardedRequest(number, "state", "a" * 16))
+    assert len(ownership.callbacks) == MAX_UNCONFIRMED
--- a/tests/daemon/test_untrusted_clients.py
+++ b/tests/daemon/test_untrusted_clients.py
@@ -21,6 +21,7 @@
     MAX_BODY_BYTES,
     MIXED,
     SERVERS,
+    WAITING,
     Crowd,
     call_until,
     exchange,
@@ -89,6 +90,20 @@
     assert descriptors <= max_descriptors
 
 
+@pytest.mark.parametrize("attack", WAITING)
+@pytest.mark.parametrize("name", GATEWAYS)
+def test_requests_that_wait_leave_the_process_within_its_limits(tmp_path, name, attack):
+    """They wait for the log, for as long as their clients ask."""
+    server = SERVERS[name]
+    with Cluster(MANY, tmp_path) as cluster:
+        call_until(server, cluster.address(server.daemon, server.name), {SERVED})
+        cluster.freeze("log")
+        try:
+            check_limits(cluster, server, WAITING[attack], MORE_DESCRIPTORS)
+        finally:
+            cluster.thaw("log")
+
+
 @pytest.mark.parametrize("daemon", ["dispatcher-1", "runner-1"])
 def test_all_crowds_at_once_leave_the_process_within_its_limits(tmp_path, daemon):
     """The limits hold for all servers of a process together."""
--- a/tests/daemon/untrusted_clients.py
+++ b/tests/daemon/untrusted_clients.py
@@ -18,6 +18,7 @@
     "MAX_BODY_BYTES",
     "MIXED",
     "SERVERS",
+    "WAITING",
     "Crowd",
     "Server",
     "call_until",
@@ -146,6 +147,13 @@
     yield server.head(number, f"Content-Length: {len(body)}") + body
 
 
+def _asking(server, number, *, method):
+    """Yields a request for a job that nobody has handed in."""
+    path = server.path.format(number=number)
+    lines = f"Host: {server.host}\r\nRequest-Deadline-Ms: 600000\r\n"
+    yield f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode()
+
+
 @dataclass(frozen=True, slots=True)
 class _Attack:
     clients: int
@@ -178,6 +186,13 @@
     "pipelined": _Attack(300, partial(_pipelined, requests=4_000)),
     "strangers": _Attack(300, partial(_stranger, labels=24_000)),
 }
+# Requests that wait until the log answers.
+WAITING = {
+    "states": _Attack(300, partial(_asking, method="GET")),
+    "cancels": _Attack(300, partial(_asking, method="DELETE")),
+    "states-left": _Attack(300, partial(_asking, method="GET"), waves=75),
+    "cancels-left": _Attack(300, partial(_asking, method="DELETE"), waves=75),
+}
 
 
 def _mixed(server, number):
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -9,7 +9,7 @@
 from banyanwheel_jobs.model import Queue
 from banyanwheel_jobs.routing import RoutingTable
 from banyanwheel_platform.callers import CallerServer, read_steps
-from banyanwheel_platform.http import HttpClient
+from banyanwheel_platform.http import HttpClient, NoAnswer
 from banyanwheel_platform.request_budget import (
     SERVING_SHARE,
     MachineLimits,
@@ -190,3 +190,58 @@
     refusal, count = asyncio.run(run())
     assert (refusal.code, count.code) == (503, 200)
     assert int(refusal.headers["Retry-After"]) > 0
+
+
+class StateRecorder(Gateway):
+    """Leaves requests for states without an answer; keeps those given up."""
+
+    waiting_requests = 0
+
+    def __init__(self):
+        self.asked = []
+        self.left = []
+
+    def state(self, job_id, reply, deadline_s):
+        self.asked.append(job_id)
+        return lambda: self.left.append(job_id)
+
+
+def ask_state(gateway, timeout_s):
+    """Returns the answer to a request for a state, None for a client that leaves."""
+
+    async def run():
+        ports = Ports()
+        address = ports.reserve()
+        limits = MachineLimits(2**20, 2**20, 16)
+        server = CallerServer(gateway, None, RequestBudget(limits))
+        server.listen(address)
+        client = HttpClient(address)
+        try:
+            response = await client.call("GET", JOB_PATH, timeout_s=timeout_s)
+        except NoAnswer:
+            response = None
+        async with asyncio.timeout(5):
+            while not gateway.left:
+                await asyncio.sleep(0.001)
+        client.close_idle()
+        server.stop()
+        await server.close()
+        ports.close()
+        return response
+
+    return asyncio.run(run())
+
+
+def test_a_request_for_a_state_ends_when_its_caller_leaves():
+    gateway = StateRecorder()
+    assert ask_state(gateway, timeout_s=0.5) is None
+    assert gateway.asked == gateway.left == ["a" * 16]
+
+
+def test_a_request_for_a_state_is_refused_while_too_many_wait():
+    gateway = StateRecorder()
+    gateway.waiting_requests = 16
+    refusal = ask_state(gateway, timeout_s=20)
+    assert refusal.code == 503
+    assert int(refusal.headers["Retry-After"]) > 0
+    assert gateway.left == ["a" * 16]
--- a/tests/platform/test_request_budget.py
+++ b/tests/platform/test_request_budget.py
@@ -177,6 +177,20 @@
     assert world.budget.may_serve()
 
 
+def test_requests_that_wait_leave_connections_to_others(world):
+    """Requests that waited for a silent log held all connections."""
+    waiting = 0
+    while world.open(waiting, phase=Phase.SERVING) and world.budget.may_wait():
+        waiting += 1
+    assert LIMITS.connections * 3 / 4 < waiting < LIMITS.connections * 7 / 8 - 2
+    assert world.counted == ["serving-limit"]
+
+
+def test_requests_count_whose_clients_have_left(world):
+    assert world.budget.may_wait(LIMITS.connections * 3 / 4)
+    assert not world.budget.may_wait(LIMITS.connections)
+
+
 @pytest.mark.parametrize("phase", TIMEOUTS_S)
 def test_a_phase_lasts_no_longer_than_its_timeout(world, phase):
     world.open("slow", now=1.0, phase=phase)
