Texts of open jobs count with the memory that they take

A dispatcher held six times the memory that its limit on open jobs allows. The text that a job passes to its workers was not counted at all, labels and racks by their characters; a text takes four bytes for each character if one of them is wide. The limit now counts what Python keeps of each text, so it is asked about submissions, not about steps.

--- a/packages/daemon/banyanwheel_daemon/dispatcher.py
+++ b/packages/daemon/banyanwheel_daemon/dispatcher.py
@@ -112,8 +112,8 @@
     def _held_bytes(self):
         return self._owner.held_bytes + self._gateway.held_bytes
 
-    def _admits_stored(self, steps):
-        admitted = self._work_limit.admits(steps)
+    def _admits_stored(self, submission):
+        admitted = self._work_limit.admits(submission)
         if not admitted:
             self.event_log.count("banyanwheel.refusals", "work-limit")
         return admitted
--- a/packages/daemon/banyanwheel_daemon/request_gateway.py
+++ b/packages/daemon/banyanwheel_daemon/request_gateway.py
@@ -54,7 +54,7 @@
     partition; ``ownership.call_when_confirmed(callback)`` calls back once the log has
     confirmed again which partitions are assigned to this dispatcher. ``transient`` are
     the TransientRequests; ``numbers`` yields the numbers of requests, any of which may
-    have to be forwarded. ``admits(steps)`` tells whether a job fits into memory.
+    have to be forwarded. ``admits(ask)`` tells whether its job fits into memory.
     """
 
     def __init__(
@@ -69,7 +69,7 @@
         ownership,
         transient,
         numbers,
-        admits=lambda steps: True,
+        admits=lambda ask: True,
     ):
         self._owner = owner
         self._partitions = partitions
@@ -81,7 +81,7 @@
         self._owner_addresses = {}  # by partition
         self._pending_counts = {}  # by address of the dispatcher
         self._unconfirmed = set()  # (entry, number) of other dispatchers' requests
-        self._requests = HeldTable(lambda each: submission_bytes(each.ask.steps))
+        self._requests = HeldTable(lambda each: submission_bytes(each.ask))
         self._admits = admits
         self._numbers = numbers
         self._transient = transient
@@ -170,13 +170,13 @@
 
     def submit(self, job_id, queue, spec, steps, reply, deadline_s):
         """Submits a job to be stored; ``reply`` is called with a Reply."""
+        details = (queue, spec, steps, self._wall_ms())
+        ask = ForwardedRequest(next(self._numbers), "submit", job_id, *details)
         forwarded = self._partition_of(job_id) not in self._owner.partitions
-        if forwarded and not self._admits(steps):
+        if forwarded and not self._admits(ask):
             # Its owner may have the job from an earlier request.
             reply(Reply(Outcome.IN_DOUBT))
             return
-        details = (queue, spec, steps, self._wall_ms())
-        ask = ForwardedRequest(next(self._numbers), "submit", job_id, *details)
         self._start_request(ask, reply, deadline_s)
 
     def run(self, job_id, queue, spec, steps, reply, deadline_s, is_connected=None):
@@ -354,7 +354,7 @@
         new = partition is not None and not (
             partition.knows(ask.job_id) or ask.job_id in partition.pending_submissions
         )
-        if new and (self._ownership.stalled(partition) or not self._admits(ask.steps)):
+        if new and (self._ownership.stalled(partition) or not self._admits(ask)):
             reply(Reply(Outcome.NOT_STORED, retry_ms=RETRY_AFTER_MS))
             return
         submission = Submission(
--- a/packages/daemon/banyanwheel_daemon/transient_requests.py
+++ b/packages/daemon/banyanwheel_daemon/transient_requests.py
@@ -55,7 +55,7 @@
     ``own_offers()`` returns the ServiceOffers of this dispatcher, None if it places no
     tasks; ``peek_offers()`` does so without an effect. ``send(address, incarnation,
     message)`` sends to another dispatcher; ``numbers`` yields the numbers of requests.
-    ``admits(steps)`` tells whether there is memory for one more job.
+    ``admits(submission)`` tells whether there is memory for one more job.
     """
 
     def __init__(
@@ -69,7 +69,7 @@
         numbers,
         own_offers,
         peek_offers=None,
-        admits=lambda steps: True,
+        admits=lambda submission: True,
     ):
         self._owner = owner
         self._placers = placers
@@ -126,7 +126,7 @@
         request = _Request(submission, reply, now, now + deadline_s, is_connected)
         reason = self._refusal_reason(submission, now)
         self._requests.add(request)
-        self._held_bytes += submission_bytes(steps)
+        self._held_bytes += submission_bytes(submission)
         if reason:
             self._refuse(request, reason)
         else:
@@ -154,13 +154,13 @@
         """Whether this dispatcher places tasks itself."""
         return self._peek_offers() is not None
 
-    def admits(self, steps):
+    def admits(self, submission):
         """Returns whether there is memory for one more job."""
-        return self._admits(steps)
+        return self._admits(submission)
 
     def _refusal_reason(self, submission, now):
         """Returns why a job is refused on arrival, empty if it is taken."""
-        if not (self._is_known(submission.job_id) or self._admits(submission.steps)):
+        if not (self._is_known(submission.job_id) or self._admits(submission)):
             return "work-limit"
         stopping = may_outlast(submission, now, self._shutdown_deadline)
         return "dispatcher-stopping" if stopping else ""
@@ -175,7 +175,7 @@
     def _forget(self, request):
         if request in self._requests:
             self._requests.remove(request)
-            self._held_bytes -= submission_bytes(request.submission.steps)
+            self._held_bytes -= submission_bytes(request.submission)
 
     def _abandon(self, request):
         request.done = True
--- a/packages/daemon/banyanwheel_daemon/where.py
+++ b/packages/daemon/banyanwheel_daemon/where.py
@@ -69,7 +69,7 @@
             return None, [self._here(Rule.OPEN)]
         if self._stalled(partition):
             return None, [_refused("log-unavailable")]
-        if not self._transient.admits(submission.steps):
+        if not self._transient.admits(submission):
             return None, [_refused("work-limit")]
         rows = dry_run(self._owner, submission, self._now(), wait_s)
         return None, [self._here(Rule.OWNER), *rows]
--- a/packages/jobs/banyanwheel_jobs/cells/forwarding.py
+++ b/packages/jobs/banyanwheel_jobs/cells/forwarding.py
@@ -189,7 +189,7 @@
     """The placer's side: jobs that it runs for the callers of other dispatchers.
 
     ``send(entry, message)`` sends to an entry, an (address, incarnation). ``placing()``
-    tells whether this dispatcher places tasks at present, ``admits(steps)`` whether it
+    tells whether this dispatcher places tasks at present, ``admits(job)`` whether it
     has memory for one more job. ``on_hosted(address, submission, now)`` is called for
     each job that is taken.
     """
@@ -278,7 +278,7 @@
         if not self._placing():
             return "not-placing"
         known = self._owner.has_transient(submission.job_id)
-        return "" if known or self._admits(submission.steps) else "work-limit"
+        return "" if known or self._admits(submission) else "work-limit"
 
     def start_shutdown(self, deadline):
         """Refuses jobs that may not end by the deadline, for another placer to run."""
--- a/packages/jobs/banyanwheel_jobs/open_work.py
+++ b/packages/jobs/banyanwheel_jobs/open_work.py
@@ -1,4 +1,9 @@
-"""Memory of open jobs, and whether there is enough for one more."""
+"""Memory of open jobs, and whether there is enough for one more.
+
+A submission here is anything with the ``spec`` and the ``steps`` of a job.
+"""
+
+from sys import getsizeof
 
 __all__ = ["HeldTable", "WorkLimit", "job_bytes", "submission_bytes"]
 
@@ -9,19 +14,20 @@
 DEPENDENCY_BYTES = 8
 
 
-def submission_bytes(steps):
+def submission_bytes(submission):
     """Returns the memory of a submission whose tasks are kept elsewhere, or not yet."""
-    size = JOB_BYTES
-    for step in steps:
-        texts = len(step.label) + len(step.rack)
+    size = JOB_BYTES + getsizeof(submission.spec)
+    for step in submission.steps:
+        # One wide character makes a text take four bytes for each.
+        texts = getsizeof(step.label) + getsizeof(step.rack)
         size += STEP_BYTES + texts + len(step.after) * DEPENDENCY_BYTES
     return size
 
 
-def job_bytes(steps):
+def job_bytes(submission):
     """Returns the memory of a job with all of its tasks."""
-    tasks = sum(step.count for step in steps)
-    return submission_bytes(steps) + tasks * TASK_BYTES
+    tasks = sum(step.count for step in submission.steps)
+    return submission_bytes(submission) + tasks * TASK_BYTES
 
 
 class HeldTable(dict):
@@ -38,7 +44,7 @@
     @classmethod
     def of_jobs(cls):
         """Returns a table of jobs with their tasks."""
-        return cls(lambda job: job_bytes(job.submission.steps))
+        return cls(lambda job: job_bytes(job.submission))
 
     def __setitem__(self, key, value):
         if key in self:
@@ -70,7 +76,7 @@
         self._max_bytes = max_bytes
         self._held_bytes = held_bytes
 
-    def admits(self, steps):
-        """Returns whether there is memory for a job of these steps."""
+    def admits(self, submission):
+        """Returns whether there is memory for one more job."""
         held = self._held_bytes()
-        return not held or held + job_bytes(steps) <= self._max_bytes
+        return not held or held + job_bytes(submission) <= self._max_bytes
--- a/tests/daemon/gateways.py
+++ b/tests/daemon/gateways.py
@@ -23,7 +23,7 @@
     own_offers=lambda: (),
     send_to_placer=None,
     clock=lambda: NOW,
-    admits=lambda steps: True,
+    admits=lambda submission: True,
 ):
     """Returns a RequestGateway; ``own_offers`` gives None for an entry."""
     clocks = (clock, lambda: 0)
--- a/tests/daemon/test_transient_requests.py
+++ b/tests/daemon/test_transient_requests.py
@@ -48,7 +48,7 @@
             own_offers=lambda: self.offers,
             send_to_placer=lambda *sent: self.sent.append(sent),
             clock=lambda: self.now,
-            admits=lambda steps: self.has_memory,
+            admits=lambda submission: self.has_memory,
         )
         self.transient = self.gateway._transient
 
--- a/tests/jobs/test_open_work.py
+++ b/tests/jobs/test_open_work.py
@@ -7,7 +7,7 @@
 from banyanwheel_jobs.cells.forwarding import HostedJobs
 from banyanwheel_jobs.messages import RunJob
 from banyanwheel_jobs.model import Queue, Resources, Step, Submission
-from banyanwheel_jobs.open_work import HeldTable, WorkLimit, job_bytes
+from banyanwheel_jobs.open_work import HeldTable, WorkLimit, job_bytes, submission_bytes
 from banyanwheel_jobs.outcomes import Outcome
 from tests.jobs.world import EventRecorder, lone_owner
 
@@ -19,15 +19,19 @@
 LIMIT = 32 * 1024 * 1024
 
 
+def submission_of(steps, spec=""):
+    return SimpleNamespace(steps=steps, spec=spec)
+
+
 def job_of(steps):
-    return SimpleNamespace(submission=SimpleNamespace(steps=steps))
+    return SimpleNamespace(submission=submission_of(steps))
 
 
 def admitted(steps):
     """Returns how many jobs of these steps are admitted before the first refusal."""
     table = HeldTable.of_jobs()
     limit = WorkLimit(LIMIT, lambda: table.held_bytes)
-    while limit.admits(steps):
+    while limit.admits(submission_of(steps)):
         table[len(table)] = job_of(steps)
     return len(table)
 
@@ -44,15 +48,26 @@
 
 @pytest.mark.parametrize("steps", [WIDE, MANY_STEPS])
 def test_a_single_job_of_legal_size_is_always_admitted(steps):
-    assert WorkLimit(1, lambda: 0).admits(steps)
-    assert not WorkLimit(1, lambda: 1).admits(steps)
+    assert WorkLimit(1, lambda: 0).admits(submission_of(steps))
+    assert not WorkLimit(1, lambda: 1).admits(submission_of(steps))
+
+
+@pytest.mark.parametrize(
+    ("character", "width"), [("x", 1), ("–", 2), ("\N{GRINNING FACE}", 4)]
+)
+def test_texts_count_with_their_memory(character, width):
+    """Jobs took six times as much as they were counted with."""
+    text = "x" * 3_900 + character
+    steps = (Step(1, Resources(1), 1, label=text, rack=text),)
+    counted = submission_bytes(submission_of(steps, text))
+    assert counted > 3 * width * len(text)
 
 
 def test_jobs_that_are_gone_take_no_memory():
     table = HeldTable.of_jobs()
     table["a"] = job_of(WIDE)
     table["a"] = job_of(ORDINARY)
-    assert table.held_bytes == job_bytes(ORDINARY)
+    assert table.held_bytes == job_bytes(submission_of(ORDINARY))
     assert table.pop("b") is None
     table["b"] = job_of(WIDE)
     assert table.pop("b").submission.steps is WIDE
@@ -69,7 +84,7 @@
         lambda entry, message: answers.append((message.number, message.outcome)),
         lambda: True,
         EventRecorder(),
-        admits=lambda steps: admitted.pop(0),
+        admits=lambda submission: admitted.pop(0),
     )
     for number, job_id in ((1, "a" * 16), (2, "a" * 16), (3, "b" * 16)):
         submission = Submission(job_id, QUEUE, "", ORDINARY, 0, transient=True)
