Log lines that clients cause have a budget of their own, and bounded texts

A crowd filled the logs of a process: each bad request and each heartbeat of a stranger wrote a line without any limit, and a heartbeat could bring a text of 260 KB into it. client:refused shared the 300 lines a second of routine events, so a crowd took the lines of all other work.

Events that any client can cause have 100 lines a second of their own; what is left out is counted. A text of a line is cut after 1,000 characters.

--- a/packages/daemon/banyanwheel_daemon/event_log.py
+++ b/packages/daemon/banyanwheel_daemon/event_log.py
@@ -5,6 +5,15 @@
 __all__ = ["EventLog"]
 
 ROUTINE_LINES_PER_S = 300  # about 1% of a core; twice the rate of a steady day
+CLIENT_LINES_PER_S = 100
+MAX_TEXT = 1_000  # characters of one value; clients choose some of them
+# Events that any client can cause, as often as it likes.
+_CLIENT_EVENTS = (
+    "client:",
+    "heartbeat:refused",
+    "heartbeat:unreadable",
+    "request:invalid",
+)
 # Events that are always logged: failures, refusals and changes in what a process knows.
 _UNLIMITED_EVENTS = (
     "process:",
@@ -18,7 +27,6 @@
     "drain:",
     "inspection:",
     "request:refused",
-    "request:invalid",
     "task:released",
     "task:retry",
     "task:stopped",
@@ -32,23 +40,28 @@
 class EventLog:
     """Logs the decisions of a process and counts their reasons.
 
-    Routine events share a budget of ``ROUTINE_LINES_PER_S``. Lines above it are
-    dropped, and their number is logged in a later second, as ``log:lines-left-out``.
-    ``clock()`` returns seconds.
+    Routine events share a budget of ``ROUTINE_LINES_PER_S``, those that clients cause
+    one of ``CLIENT_LINES_PER_S``. Lines above it are dropped, and their number is
+    logged in a later second, as ``log:lines-left-out``. ``clock()`` returns seconds.
     """
 
     def __init__(self, metrics, clock):
         self._metrics = metrics
         self._clock = clock
-        self._second = 0
-        self._lines_written = 0
-        self._lines_dropped = 0
+        self._routine = _LineBudget(ROUTINE_LINES_PER_S)
+        self._by_clients = _LineBudget(CLIENT_LINES_PER_S)
 
     def __call__(self, event, **fields):
         """Logs an event with the values that led to it, unless over the budget."""
-        if not event.startswith(_UNLIMITED_EVENTS) and not self._within_budget():
+        if event.startswith(_CLIENT_EVENTS):
+            budget = self._by_clients
+        elif event.startswith(_UNLIMITED_EVENTS):
+            budget = None
+        else:
+            budget = self._routine
+        if budget is not None and not budget.take(int(self._clock())):
             return
-        log_message(event, **fields)
+        log_message(event, **{name: _shorten(each) for name, each in fields.items()})
 
     def fault(self, error, **fields):
         """Logs and counts an error that nothing expected."""
@@ -63,14 +76,30 @@
         """Adds a duration to the histogram ``name`` under the labels ``attributes``."""
         self._metrics.observe(name, seconds, **attributes)
 
-    def _within_budget(self):
-        second = int(self._clock())
+
+class _LineBudget:
+    """Lines per second, and how many were dropped above them."""
+
+    def __init__(self, lines_per_s):
+        self._lines_per_s = lines_per_s
+        self._second = 0
+        self._written = 0
+        self._dropped = 0
+
+    def take(self, second):
+        """Returns whether one more line may be written in a second."""
         if second != self._second:
-            if self._lines_dropped:
-                log_message("log:lines-left-out", lines=self._lines_dropped)
-            self._second, self._lines_written, self._lines_dropped = second, 0, 0
-        if self._lines_written >= ROUTINE_LINES_PER_S:
-            self._lines_dropped += 1
+            if self._dropped:
+                log_message("log:lines-left-out", lines=self._dropped)
+            self._second, self._written, self._dropped = second, 0, 0
+        if self._written >= self._lines_per_s:
+            self._dropped += 1
             return False
-        self._lines_written += 1
+        self._written += 1
         return True
+
+
+def _shorten(value):
+    if isinstance(value, str) and len(value) > MAX_TEXT:
+        return value[:MAX_TEXT] + "…"
+    return value
