A turn that is not due keeps nothing of a connection that was given up

A fault of: a connection that waits for a turn and is given up was ended by an error in the turn. The error refers to all frames that it passed, and so to the stream, its buffers and the body, until the turn is due.

The test of the server fails without the change.

--- a/tests/platform/test_http_server.py
+++ b/tests/platform/test_http_server.py
@@ -26,6 +26,7 @@
 MIB = 1024 * 1024
 LIMITS = MachineLimits(request_bytes=MIB, work_bytes=MIB, connections=8)
 POST = b"POST / HTTP/1.1\r\nHost: here\r\n"
+CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
 WHOLE = POST + b"Content-Length: 4\r\n\r\nbody"
 TIMEOUT_S = 20
 LARGE = b"x" * (64 * MIB)  # more than the kernel buffers
@@ -329,7 +330,44 @@
     play(scenario)
 
 
-@pytest.mark.parametrize("sent", [POST, WHOLE[:-1]])
+class WaitingTurns:
+    """Turns that are never due."""
+
+    def __init__(self):
+        self.taken = []
+
+    def take(self):
+        turn = asyncio.get_running_loop().create_future()
+        self.taken.append(turn)
+        return turn
+
+
+def test_a_turn_that_is_not_due_keeps_nothing_of_a_connection_that_is_given_up(play):
+    """Bodies in chunks of 16 KB took 137 MB where 128 were allowed."""
+
+    async def scenario(world):
+        turns = world.server.turns = WaitingTurns()
+        gc.collect()
+        gc.disable()
+        try:
+            _, writer = await world.send(CHUNKED + b"1\r\nx\r\n")
+            await world.wait_for(lambda: turns.taken)
+            (account,) = world.budget.expire(1e9)
+            reference = weakref.ref(account.close.__self__.stream)
+            account.close()
+            await world.wait_for(lambda: reference() is None)
+            writer.close()
+        finally:
+            gc.enable()
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [POST, WHOLE[:-1], CHUNKED + b"1\r\nx\r\n" * 100 * CHUNKS_PER_TURN],
+    ids=["header", "body", "chunks"],
+)
 def test_a_connection_that_ends_leaves_no_work_for_the_garbage_collector(play, sent):
     """Thousands of them filled the memory between two of its runs."""
 
