Server and gateway: the stream and the local requests in modules of their own

One behaviour changes: of another dispatcher's requests, only those that would wait for the log are dropped beyond 4,096, not all that come meanwhile.

tests/platform and tests/daemon without the crowds pass.

--- a/packages/daemon/banyanwheel_daemon/request_gateway.py
+++ b/packages/daemon/banyanwheel_daemon/request_gateway.py
@@ -4,11 +4,13 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from banyanwheel_jobs.messages import ForwardedReply, ForwardedRequest
-from banyanwheel_jobs.model import JobState, Step, Submission, partition_of
+from banyanwheel_jobs.messages import ForwardedRequest
+from banyanwheel_jobs.model import JobState, Step, partition_of
 from banyanwheel_jobs.open_work import HeldTable, submission_bytes
 from banyanwheel_jobs.outcomes import RETRY_AFTER_MS, Outcome, Reply
 
+from .partition_requests import PartitionRequests
+
 __all__ = ["RequestGateway"]
 
 RESEND_S = 0.6  # an owner answers within one append, even if the log is slow
@@ -19,8 +21,6 @@
 # The last resend comes after a dead connection is replaced, which takes up to a second.
 CANCEL_RESENDS_S = (0.0, 0.4, 1.2)
 MAX_PENDING_COUNT_AGE_S = 1.9
-# Requests of other dispatchers that wait for the log to confirm; they come again.
-MAX_UNCONFIRMED = 4_096
 
 
 @dataclass(slots=True, eq=False)
@@ -76,11 +76,9 @@
         self._now, self._wall_ms = clocks
         self._event_log = event_log
         self._send = send
-        self._send_reply = send_reply
-        self._ownership = ownership
+        self._local = PartitionRequests(owner, self._now, ownership, admits, send_reply)
         self._owner_addresses = {}  # by partition
         self._pending_counts = {}  # by address of the dispatcher
-        self._unconfirmed = set()  # (entry, number) of other dispatchers' requests
         self._requests = HeldTable(lambda each: submission_bytes(each.ask))
         self._admits = admits
         self._numbers = numbers
@@ -249,7 +247,7 @@
             return
         if self._partition_of(request.ask.job_id) in self._owner.partitions:
             request.copies_in_flight += 1
-            self._serve(
+            self._local.serve(
                 request.ask,
                 lambda answer: self._take_reply(request, answer),
                 lambda forget: setattr(request, "forget", forget),
@@ -333,80 +331,11 @@
             self._fail(request)
         self._transient.fail_all()
 
-    # Requests for local partitions
-
-    def _serve(self, ask, reply, on_wait):
-        """Serves a request; ``on_wait(forget)`` is called if it waits for the log."""
-        match ask.verb:
-            case "submit":
-                self._serve_submit(ask, reply)
-            case "state" | "cancel":
-                self._serve_known(ask, self._confirm_unknown(ask, reply, on_wait))
-
-    def _serve_known(self, ask, reply):
-        if ask.verb == "state":
-            self._owner.ask(ask.job_id, reply)
-        else:
-            self._owner.cancel(ask.job_id, reply, self._now())
-
-    def _serve_submit(self, ask, reply):
-        partition = self._owner.partition_for(ask.job_id)
-        new = partition is not None and not (
-            partition.knows(ask.job_id) or ask.job_id in partition.pending_submissions
-        )
-        if new and (self._ownership.stalled(partition) or not self._admits(ask)):
-            reply(Reply(Outcome.NOT_STORED, retry_ms=RETRY_AFTER_MS))
-            return
-        submission = Submission(
-            ask.job_id, ask.queue, ask.spec, ask.steps, ask.received_ms
-        )
-        self._owner.submit(submission, reply, self._now())
-
-    def _confirm_unknown(self, ask, reply, on_wait):
-        """Wraps ``reply`` to report an unknown job only after a new confirmation.
-
-        Once a renewal sent from then on has confirmed the ownership, the request is
-        served again, and that answer is passed on.
-        """
-
-        def checked_reply(answer):
-            if answer.outcome is not Outcome.UNKNOWN_JOB:
-                reply(answer)
-            else:
-                on_wait(
-                    self._ownership.call_when_confirmed(
-                        lambda: self._serve_known(ask, reply)
-                    )
-                )
-
-        return checked_reply
-
     # Messages from other dispatchers
 
     def handle_ask(self, entry, ask):
-        """Serves a request that another dispatcher forwarded.
-
-        ``entry`` is its (address, incarnation). The reply is for that incarnation only:
-        the next one uses the same numbers for requests of its own.
-        """
-        if ask.verb == "cancel-transient":
-            self._owner.cancel_transient(ask.job_id)
-            return
-
-        key = entry, ask.number
-        if key in self._unconfirmed or len(self._unconfirmed) >= MAX_UNCONFIRMED:
-            return
-
-        def reply(answer):
-            self._unconfirmed.discard(key)
-            self._send_reply(
-                entry,
-                ForwardedReply(
-                    ask.number, answer.outcome, answer.state, answer.retry_ms
-                ),
-            )
-
-        self._serve(ask, reply, lambda forget: self._unconfirmed.add(key))
+        """Serves another dispatcher's request; see PartitionRequests."""
+        self._local.handle_ask(entry, ask)
 
     def handle_reply(self, answer):
         """Completes a forwarded request with its owner's answer."""
