The soak sends crowds of clients beside its faults

Crowds and faults were tried apart. The crowds moved to the stand-ins, which the soak and the tests share.

Crowds now use ids of their own.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -2,7 +2,8 @@
 
 Each seed starts a system behind proxies, has callers hand in jobs all the time, and
 injects faults in series and overlapping. With ``--wide`` orders are also late, herds
-are killed in series, and callers leave and come back. What callers and workers saw is
+are killed in series, and callers leave and come back; with ``--crowds`` clients that
+don't behave come in crowds beside the faults. What callers and workers saw is
 checked against every promise. The files of a seed that fails are kept.
 """
 
@@ -13,8 +14,14 @@
 
 import typer
 
-from tests.standins.chaos import mixed_chaos, play as inject, wide_chaos
+from tests.standins.chaos import (
+    crowd_chaos,
+    mixed_chaos,
+    play as inject,
+    wide_chaos,
+)
 from tests.standins.cluster import Cluster
+from tests.standins.crowds import usage
 from tests.standins.layout import RARE_LABEL, Layout
 from tests.standins.load import Load, WideLoad
 
@@ -25,9 +32,10 @@
 CALLERS = 4
 FINALS = {"completed", "failed"}
 END_TIMEOUT_S = 30.0
+MEMORY_MB = 128  # that a daemon assumes without settings
 
 
-def play(seed, directory, *, dispatchers=3, runners=4, faults=6, wide=False):
+def play(seed, directory, *, dispatchers=3, runners=4, faults=6, wide=False, crowds=0):
     """Plays one seed; returns the broken promises and the faults that were injected."""
     if wide:
         layout = Layout.uneven(dispatchers, runners)
@@ -37,10 +45,15 @@
         load = WideLoad(cluster, RARE_LABEL) if wide else Load(cluster, CALLERS)
         load.start()
         try:
-            injected = inject(_chaos(cluster, faults, seed, wide))
+            chaos = _chaos(cluster, faults, seed, wide)
+            injected = inject([*chaos, *crowd_chaos(cluster, crowds, seed)])
         finally:
             load.stop()
-        findings = [*_unfinished(cluster, load), *map(str, cluster.findings())]
+        findings = [
+            *_unfinished(cluster, load),
+            *_beyond_memory(cluster),
+            *map(str, cluster.findings()),
+        ]
     return findings, injected
 
 
@@ -67,6 +80,15 @@
             yield f"accepted is kept: {job_id}: accepted, and then {state or 'unknown'}"
 
 
+def _beyond_memory(cluster):
+    """Yields the daemons whose peak of resident memory is above their limit."""
+    for name in cluster.daemons:
+        if cluster.running(name):
+            peak_mb, _ = usage(cluster.pid(name))
+            if peak_mb >= MEMORY_MB:
+                yield f"memory: {name} took {peak_mb:.0f} MB"
+
+
 @app.command()
 def main(
     first: Annotated[int, typer.Option(help="The first seed.")] = 1,
@@ -75,6 +97,7 @@
     dispatchers: int = 3,
     runners: int = 4,
     wide: Annotated[bool, typer.Option(help="The wider set of faults.")] = False,
+    crowds: Annotated[int, typer.Option(help="Crowds of clients, one by one.")] = 0,
     keep: Annotated[Path, typer.Option(help="Folder for failed seeds.")] = Path(
         "build/soak"
     ),
@@ -92,6 +115,7 @@
             runners=runners,
             faults=faults,
             wide=wide,
+            crowds=crowds,
         )
         for finding in findings:
             typer.echo(f"seed {seed}: {finding}")
--- a/tests/daemon/test_untrusted_clients.py
+++ b/tests/daemon/test_untrusted_clients.py
@@ -11,10 +11,7 @@
 
 from tests.standins.calls import in_thread
 from tests.standins.cluster import Cluster
-from tests.standins.history import TaskStarted
-from tests.standins.layout import Layout
-
-from .untrusted_clients import (
+from tests.standins.crowds import (
     ATTACKS,
     MANY_CONNECTIONS,
     MANY_TASKS,
@@ -27,6 +24,8 @@
     exchange,
     usage,
 )
+from tests.standins.history import TaskStarted
+from tests.standins.layout import Layout
 
 MEMORY_MB = 80
 MAX_DESCRIPTORS = 128
--- a/tests/features/chaos.feature
+++ b/tests/features/chaos.feature
@@ -45,3 +45,18 @@
       | seed |
       | 1    |
       | 29   |
+
+  @at-most-once @whole-answer @own-answer @not-run @non-idempotent
+  Scenario Outline: Crowds of clients that don't behave, beside faults of all kinds
+    Given a system of 3 dispatchers and 4 runners, with proxies before the runners
+    And callers that submit jobs all the time
+    When 6 faults hit each half of the system with the seed <seed>, beside 10 crowds of clients
+    And the callers stop
+    Then every accepted job of the callers ends
+    And every daemon has stayed within 128 MB
+    And every promise is kept
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
--- a/tests/promises/conftest.py
+++ b/tests/promises/conftest.py
@@ -11,8 +11,9 @@
 from banyanwheel_client.errors import ClientError
 from banyanwheel_jobs.cells.cell import CELL_PLACERS
 from tests.standins.calls import in_thread
-from tests.standins.chaos import mixed_chaos, play, wide_chaos
+from tests.standins.chaos import crowd_chaos, mixed_chaos, play, wide_chaos
 from tests.standins.cluster import Cluster
+from tests.standins.crowds import usage
 from tests.standins.history import LeaseLapsed, TaskStarted
 from tests.standins.layout import Layout
 
@@ -315,6 +316,24 @@
     play(wide_chaos(world.cluster, count, seed))
 
 
+@when(
+    parsers.parse(
+        "{count:d} faults hit each half of the system with the seed {seed:d}, beside "
+        "{crowds:d} crowds of clients"
+    )
+)
+def run_chaos_beside_crowds(world, count, seed, crowds):
+    chaos = mixed_chaos(world.cluster, count, seed, restarts=True)
+    play([*chaos, *crowd_chaos(world.cluster, crowds, seed)])
+
+
+@then(parsers.parse("every daemon has stayed within {memory_mb:d} MB"))
+def check_memory(world, memory_mb):
+    world.cluster.wait_ready()
+    peaks = {name: usage(world.cluster.pid(name))[0] for name in world.cluster.daemons}
+    assert max(peaks.values()) < memory_mb, peaks
+
+
 @when("an operator publishes a version")
 def publish(world):
     world.published.append(world.cluster.publish(priority=len(world.published) + 1))
--- a/tests/standins/chaos.py
+++ b/tests/standins/chaos.py
@@ -2,13 +2,19 @@
 
 import threading
 import time
+from contextlib import suppress
+from dataclasses import replace
 from random import Random
 
-__all__ = ["mixed_chaos", "play", "wide_chaos"]
+from .crowds import IDLE_ATTACKS, SERVERS, Crowd
+
+__all__ = ["crowd_chaos", "mixed_chaos", "play", "wide_chaos"]
 
 LONGEST_PAUSE_S = 0.5
 LONGEST_FAULT_S = 2.5
 LONGEST_WORKER_FAULT_S = 6.0
+CROWD_CLIENTS = 60
+CROWD_TIMEOUT_S = 2.0  # of a client whose server stands still
 BETWEEN_KILLS_S = (3.0, 10.0)
 LATEST_HEARTBEAT_MS = 500  # of a worker that has started again
 WORKER_FAULTS = (
@@ -62,6 +68,12 @@
     ]
 
 
+def crowd_chaos(cluster, count, seed):
+    """Returns what sends crowds of clients to the servers of the daemons."""
+    numbers = range(1, cluster.layout.runners + 1)
+    return [_CrowdChaos(cluster, numbers, count, seed)]
+
+
 def play(chaos):
     """Injects the faults, all kinds at the same time; returns what was done."""
     for one in chaos:
@@ -252,3 +264,28 @@
             self._disturb_log,
             self._move_partitions,
         ]
+
+
+class _CrowdChaos(_Chaos):
+    """Crowds of clients come to a server of a daemon, stay for a while and leave."""
+
+    @property
+    def _faults(self):
+        return [self._send_crowd]
+
+    def _send_crowd(self, number):
+        name = self._daemon(number)
+        role = name.rpartition("-")[0]
+        servers = [each for each in SERVERS.values() if each.daemon.startswith(role)]
+        server = self._random.choice(servers)
+        # Not the jobs of the callers, whose ids begin with a zero.
+        path = server.path.replace("{number:016x}", "c{number:015x}")
+        server = replace(server, path=path)
+        kind = self._random.choice(list(IDLE_ATTACKS))
+        attack = IDLE_ATTACKS[kind]
+        attack = replace(attack, clients=min(attack.clients, CROWD_CLIENTS), waves=1)
+        self.applied.append(f"{kind} at the {server.name}")
+        crowd = Crowd(server, self._cluster.address(name, server.name), CROWD_TIMEOUT_S)
+        with suppress(TimeoutError):
+            crowd.send(attack)
+        return crowd.leave
--- a/tests/daemon/untrusted_clients.py
+++ b/tests/standins/crowds.py
@@ -9,16 +9,18 @@
 from functools import partial
 from pathlib import Path
 
-from tests.standins.calls import call
+from .calls import call
 
 __all__ = [
     "ATTACKS",
+    "IDLE_ATTACKS",
     "MANY_CONNECTIONS",
     "MANY_TASKS",
     "MAX_BODY_BYTES",
     "MIXED",
     "SERVERS",
     "WAITING",
+    "Attack",
     "Crowd",
     "Server",
     "call_until",
@@ -155,7 +157,9 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Attack:
+class Attack:
+    """How many clients come, and ``pieces(server, number)`` of what each one sends."""
+
     clients: int
     pieces: object
     waves: int = 1  # each of so many clients, which leave before the next one comes
@@ -164,34 +168,34 @@
 _SHORT = {"bytes_sent": MAX_BODY_BYTES - 1, "announced": MAX_BODY_BYTES}
 _FAR_OVER = 8 * KIB * KIB
 ATTACKS = {
-    "short-of-the-end": _Attack(200, partial(_announced, **_SHORT, piece=2**20)),
-    "piecemeal": _Attack(200, partial(_announced, **_SHORT, piece=KIB)),
-    "large-chunks": _Attack(200, partial(_chunked, chunks=15, size=16 * KIB)),
-    "tiny-chunks": _Attack(200, partial(_chunked, chunks=8 * KIB, size=1)),
-    "announced": _Attack(
+    "short-of-the-end": Attack(200, partial(_announced, **_SHORT, piece=2**20)),
+    "piecemeal": Attack(200, partial(_announced, **_SHORT, piece=KIB)),
+    "large-chunks": Attack(200, partial(_chunked, chunks=15, size=16 * KIB)),
+    "tiny-chunks": Attack(200, partial(_chunked, chunks=8 * KIB, size=1)),
+    "announced": Attack(
         40,
         partial(_announced, bytes_sent=_FAR_OVER, announced=_FAR_OVER + 1, piece=2**18),
     ),
-    "simply-sent": _Attack(40, partial(_chunked, chunks=128, size=64 * KIB)),
-    "whole": _Attack(60, _whole),
-    "whole-waiting": _Attack(100, partial(_whole, step=TOO_LARGE_TASK, size=200)),
-    "whole-stored": _Attack(60, partial(_whole, stored=True)),
-    "faulty-steps": _Attack(20, partial(_faulty, steps=120_000)),
+    "simply-sent": Attack(40, partial(_chunked, chunks=128, size=64 * KIB)),
+    "whole": Attack(60, _whole),
+    "whole-waiting": Attack(100, partial(_whole, step=TOO_LARGE_TASK, size=200)),
+    "whole-stored": Attack(60, partial(_whole, stored=True)),
+    "faulty-steps": Attack(20, partial(_faulty, steps=120_000)),
 }
 # For processes whose memory, not their descriptors, limits the connections.
 MANY_CONNECTIONS = {
-    "query-arguments": _Attack(300, partial(_query, arguments=990)),
-    "header-fields": _Attack(300, partial(_fields, fields=2_000)),
-    "endless-chunks": _Attack(900, partial(_chunked, chunks=32 * KIB, size=1), waves=3),
-    "pipelined": _Attack(300, partial(_pipelined, requests=4_000)),
-    "strangers": _Attack(300, partial(_stranger, labels=24_000)),
+    "query-arguments": Attack(300, partial(_query, arguments=990)),
+    "header-fields": Attack(300, partial(_fields, fields=2_000)),
+    "endless-chunks": Attack(900, partial(_chunked, chunks=32 * KIB, size=1), waves=3),
+    "pipelined": Attack(300, partial(_pipelined, requests=4_000)),
+    "strangers": Attack(300, partial(_stranger, labels=24_000)),
 }
 # Requests that wait until the log answers.
 WAITING = {
-    "states": _Attack(300, partial(_asking, method="GET")),
-    "cancels": _Attack(300, partial(_asking, method="DELETE")),
-    "states-left": _Attack(300, partial(_asking, method="GET"), waves=75),
-    "cancels-left": _Attack(300, partial(_asking, method="DELETE"), waves=75),
+    "states": Attack(300, partial(_asking, method="GET")),
+    "cancels": Attack(300, partial(_asking, method="DELETE")),
+    "states-left": Attack(300, partial(_asking, method="GET"), waves=75),
+    "cancels-left": Attack(300, partial(_asking, method="DELETE"), waves=75),
 }
 
 
@@ -201,14 +205,24 @@
     yield from attacks[number % len(attacks)].pieces(server, number)
 
 
-MIXED = _Attack(280, _mixed)
+MIXED = Attack(280, _mixed)
+# Those that have no task run.
+IDLE_ATTACKS = {
+    name: attack
+    for name, attack in (ATTACKS | MANY_CONNECTIONS | WAITING).items()
+    if name not in ("whole", "whole-stored")
+}
 
 
 class Crowd:
-    """Clients that send their requests and stay; those that are closed are left."""
+    """Clients that send their requests and stay; those that are closed are left.
+
+    A client that can't send for ``timeout_s`` raises TimeoutError.
+    """
 
-    def __init__(self, server, address):
+    def __init__(self, server, address, timeout_s=SEND_TIMEOUT_S):
         self._server = server
+        self._timeout_s = timeout_s
         host, _, port = address.rpartition(":")
         self._address = host, int(port)
         self._sockets = []
@@ -217,15 +231,16 @@
         return self
 
     def __exit__(self, *error):
-        self._leave()
+        self.leave()
 
     def send(self, attack):
         """Sends the requests of an attack, each on a connection of its own."""
         for _ in range(attack.waves):
-            self._leave()
+            self.leave()
             self._send_wave(attack)
 
-    def _leave(self):
+    def leave(self):
+        """Closes all connections."""
         for client in self._sockets:
             client.close()
         self._sockets.clear()
@@ -234,7 +249,7 @@
         for number in range(attack.clients):
             client = socket.socket()
             self._sockets.append(client)
-            client.settimeout(SEND_TIMEOUT_S)
+            client.settimeout(self._timeout_s)
             with contextlib.suppress(ConnectionError):
                 client.connect(self._address)
                 client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
