--- a/packages/daemon/banyanwheel_daemon/worker_verifier.py
+++ b/packages/daemon/banyanwheel_daemon/worker_verifier.py
@@ -60,11 +60,13 @@
         client = WorkerClient(first.address, first.worker_id, first.born_ms)
         try:
             reason = await self._refusal_reason(client)
-        except asyncio.CancelledError:
+        except BaseException:
             client.close()
             raise
-        del self._checks[key]
-        check.task = None
+        finally:
+            if self._checks.get(key) is check:
+                del self._checks[key]
+            check.task = None
         if reason:
             client.close()
             self._on_refusal(check.heartbeat, reason)
--- a/tests/daemon/test_foreign_heartbeats.py
+++ b/tests/daemon/test_foreign_heartbeats.py
@@ -339,6 +339,27 @@
     play(scenario)
 
 
+def test_a_worker_is_checked_again_after_an_unexpected_error(monkeypatch):
+    async def scenario(site):
+        def fail(*arguments):
+            raise RuntimeError
+
+        with monkeypatch.context() as patch:
+            patch.setattr(site.role._verifier, "_refusal_reason", fail)
+            await site.put_own(1)
+            await until(lambda: faults(site.log))
+        site.log.events.clear()
+        await site.put_own(2)
+        await until(lambda: site.in_use)
+
+    play(scenario)
+
+
+def faults(log):
+    """Returns the unexpected errors in a log."""
+    return [event for event, _ in log.events if event == "process:fault"]
+
+
 def test_a_worker_is_used_beside_any_number_of_strangers():
     """Each of them was called, and held its heartbeat, for seconds."""
 
