--- a/packages/daemon/banyanwheel_daemon/partition_requests.py
+++ b/packages/daemon/banyanwheel_daemon/partition_requests.py
@@ -26,9 +26,9 @@
         self._unconfirmed = set()  # (entry, number) of other dispatchers' requests
 
     def serve(self, ask, reply, on_wait):
-        """Serves a request; ``on_wait(forget)`` is called if it waits for the log.
+        """Serves a request; ``on_wait(cancel)`` is called if it waits for the log.
 
-        ``forget()`` takes the wait back.
+        ``cancel()`` ends the wait without a reply.
         """
         match ask.verb:
             case "submit":
@@ -58,11 +58,11 @@
                 ),
             )
 
-        def wait(forget):
+        def wait(cancel):
             if len(self._unconfirmed) < MAX_UNCONFIRMED:
                 self._unconfirmed.add(key)
             else:
-                forget()
+                cancel()
 
         self.serve(ask, reply, wait)
 
--- a/packages/daemon/banyanwheel_daemon/request_gateway.py
+++ b/packages/daemon/banyanwheel_daemon/request_gateway.py
@@ -31,7 +31,7 @@
     started_at: float
     copies_in_flight: int = 0  # sent to an owner and not answered yet
     timer: object = None
-    forget: object = None  # takes back the wait for a confirmation by the log
+    cancel_wait: object = None  # ends the wait for a confirmation by the log
     done: bool = False
 
 
@@ -250,7 +250,7 @@
             self._local.serve(
                 request.ask,
                 lambda answer: self._take_reply(request, answer),
-                lambda forget: setattr(request, "forget", forget),
+                lambda cancel: setattr(request, "cancel_wait", cancel),
             )
             self._schedule_timeout(request)
             return
@@ -303,8 +303,8 @@
         request.done = True
         if request.timer is not None:
             request.timer.cancel()
-        if request.forget is not None:
-            request.forget()
+        if request.cancel_wait is not None:
+            request.cancel_wait()
         self._requests.pop(request.ask.number, None)
 
     def _finish(self, request, reply):
--- a/packages/daemon/banyanwheel_daemon/worker_verifier.py
+++ b/packages/daemon/banyanwheel_daemon/worker_verifier.py
@@ -50,7 +50,8 @@
         if len(self._checks) >= MAX_CHECKS:
             displaced = self._checks.pop(next(iter(self._checks)))
             displaced.task.cancel()
-            displaced.task = None  # whose frame refers to the check
+            # The frame of the task refers to the check, and a cycle would keep both.
+            displaced.task = None
             self._on_refusal(displaced.heartbeat, "displaced")
         check = self._checks[key] = _Check(heartbeat)
         check.task = self._spawn(self._check(key, check))
