--- a/review/standins_3/system.py
+++ b/review/standins_3/system.py
@@ -361,9 +361,11 @@
     record = Record()
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble={int(trouble)}")
+    # A script that is asked to stop ends its processes too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         verdicts = asyncio.run(asyncio.wait_for(case(record, trouble), CASE_S))
-    except Exception as error:
+    except (Exception, KeyboardInterrupt) as error:
         record(f"cannot-run {type(error).__name__}: {error}")
         status = CANNOT_RUN
     else:
