A former owner doesn't replace runs that the new owner knows of

Cause: a runner that has heard of a new owner no longer lists the runs of that partition to the former one. A former owner that was cut off from the log took them for gone after 0.5 s and placed their tasks anew. A runner that had not heard of the new owner started them while the first runs, which the new owner had adopted, went on: two runs of a task at once.

Change: a report counts against a run only if the runner follows this ownership of the partition. The new owner places nothing itself before the former one's authority has ended, so no task waits longer.

Test: test_a_former_owner_does_not_replace_the_runs_that_the_new_owner_knows failed before with "runs on {'runner-0'} and on runner-1".

--- a/packages/jobs/banyanwheel_jobs/owners/supervision.py
+++ b/packages/jobs/banyanwheel_jobs/owners/supervision.py
@@ -65,14 +65,17 @@
             for job in partition.all_jobs:
                 for task in job.placed():
                     view = self._views.get(task.runner)
-                    if view is not None and self._is_unlisted(view, task, now):
+                    if view is not None and self._is_unlisted(
+                        partition, view, task, now
+                    ):
                         self._release(job, task, "unlisted")
                 self.close_transient(job, now)
 
-    def _is_unlisted(self, view, task, now):
+    def _is_unlisted(self, partition, view, task, now):
         key = (task.id, task.run)
         if (
             not view.reconciled
+            or not self._reports_on(view, partition)
             or key in view.outstanding
             or key in view.listed
             or now - view.heard_at > UNLISTED_S
@@ -83,6 +86,16 @@
             task.unlisted_since = now
         return now - task.unlisted_since > UNLISTED_S
 
+    def _reports_on(self, view, partition):
+        """Returns whether the runner's last report lists the runs of a partition.
+
+        That of a runner that follows another owner, or none yet, doesn't.
+        """
+        return (
+            partition is self._transient
+            or view.epochs.get(partition.number) == partition.epoch
+        )
+
     def _release_unresponsive(self, view, now):
         """Releases the tasks of an unresponsive runner once their runs are over.
 
