The end of a canceled job tells which of its runs were replaced

What callers saw: a task had effect twice.

Cause: of a job that has ended, its owner kept only the runs that completed tasks. A canceled or failed job has none for its open tasks, so every end was acknowledged at once; ends that are failed always were.

Change: a job notes the run that replaces one whose end is unknown, and its stored end has these numbers. Ends of earlier runs wait for a lapse, also those that their owner may have forgotten after the retention, and those of the next owner, which has only the stored end. A runner ignores a superseded end that was acknowledged meanwhile, so that no lapse is caused in vain.

--- a/packages/jobs/banyanwheel_jobs/owners/job.py
+++ b/packages/jobs/banyanwheel_jobs/owners/job.py
@@ -32,9 +32,10 @@
 
     ``run`` is the number of its newest run. ``failed_runs`` holds the numbers of the
     runs that failed. Until ``unknown_run_until``, in seconds of the owner's clock, a
-    run that the owner does not know of may still exist. ``avoided_runners`` are the
-    runners at which a run has failed or was stopped as a straggler. Since
-    ``deferred_since`` the task waits for a better runner than those with room.
+    run that the owner does not know of may still exist.
+    ``avoided_runners`` are the runners at which a run has failed or was stopped as a
+    straggler. Since ``deferred_since`` the task waits for a better runner than those
+    with room.
     """
 
     id: TaskId
@@ -81,6 +82,8 @@
     accepted_epoch: int
     received_at: float
     tasks: list = field(default_factory=list)  # one list of tasks per step
+    # By task id, the run that replaces one whose end is unknown.
+    replacements: dict = field(default_factory=dict)
     state: JobState = JobState.QUEUED
     unproven_runs: set = field(default_factory=set)
     ending: JobState | None = None
@@ -214,8 +217,7 @@
 
     def place(self, task, runner, epoch):
         """Places a task at ``runner`` under a new run number."""
-        base = (epoch - self.accepted_epoch) * RUNS_PER_EPOCH
-        task.run = max(task.run, base) + 1
+        task.run = self._next_run(task, epoch)
         task.apply_event("place")
         task.percent = task.last_progress_age_ms = 0
         task.runner = runner
@@ -223,6 +225,14 @@
         task.deferred_since = None
         self.unproven_runs.add((task.id, task.run, runner))
 
+    def _next_run(self, task, epoch):
+        base = (epoch - self.accepted_epoch) * RUNS_PER_EPOCH
+        return max(task.run, base) + 1
+
+    def reserve_replacement(self, task, epoch):
+        """Reserves the number of the run that replaces one whose end is unknown."""
+        self.replacements[task.id] = self._next_run(task, epoch)
+
     def adopt(self, task, run, runner):
         """Takes over a run that a former owner placed."""
         task.run = max(task.run, run)
@@ -270,6 +280,13 @@
         self.progress_stored = True
         self.apply_event("start")
 
+    def replacement_runs(self):
+        """Returns (step, index, run) of the reserved replacements."""
+        return tuple(
+            (task_id.step, task_id.index, run)
+            for task_id, run in self.replacements.items()
+        )
+
     def on_worker(self, step, runner):
         """Returns the number of tasks of a step that are placed at ``runner``."""
         return Counter(task.runner for task in self.tasks[step])[runner]
--- a/packages/jobs/banyanwheel_jobs/owners/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owners/owner.py
@@ -291,6 +291,7 @@
             job.done_runs(),
             reason,
             job.submission.fingerprint,
+            job.replacement_runs(),
         )
         records = [(job_key(job.id), encode(ended))]
         if job.progress_stored:
--- a/packages/jobs/banyanwheel_jobs/owners/report_handling.py
+++ b/packages/jobs/banyanwheel_jobs/owners/report_handling.py
@@ -41,9 +41,8 @@
             return
         if restarted:
             for partition in self.all_partitions:
-                self._release_runs(
-                    partition, view, "runner-restarted", now, view.listed
-                )
+                listed = view.listed if self._reports_on(view, partition) else None
+                self._release_runs(partition, view, "runner-restarted", now, listed)
         view.incarnation = incarnation
         view.incarnation_heard_at = now
         self._learn_interference(view, report, now)
@@ -103,12 +102,12 @@
             self._record_start(job, view, end)
         if task is None:
             ended = partition.ended.get(end.task.job)
-            other_run = ended is not None and ended.completing_run(end.task) not in (
-                None,
-                end.run,
-            )
-            if end.kind is EndKind.DONE and other_run:
-                superseded.append(run)
+            if (
+                end.kind in COUNTED_KINDS
+                and ended is not None
+                and ended.supersedes(end.task, end.run)
+            ):
+                self._supersede(run, superseded)
             else:
                 acknowledged.append(run)
         elif (end.task, end.run) in job.unstored_ends or (
@@ -120,8 +119,11 @@
         elif end.kind not in COUNTED_KINDS or self._is_recorded(task, end):
             acknowledged.append(run)
         else:
-            superseded.append(run)
-            self._event_log("task:superseded", task=str(end.task), run=end.run)
+            self._supersede(run, superseded)
+
+    def _supersede(self, run, superseded):
+        superseded.append(run)
+        self._event_log("task:superseded", task=str(run.task), run=run.run)
 
     def _record_start(self, job, view, end):
         """Records whether a run that has ended had started, if its end tells."""
--- a/packages/jobs/banyanwheel_jobs/owners/supervision.py
+++ b/packages/jobs/banyanwheel_jobs/owners/supervision.py
@@ -110,17 +110,25 @@
             if now - partition.opened_at > self._replacement_s:
                 self._release_runs(partition, view, "runner-silent", now)
 
-    def _release_runs(self, partition, view, reason, now, keep=frozenset()):
-        """Releases the tasks placed at a runner, except the runs in ``keep``.
+    def _release_runs(self, partition, view, reason, now, listed=None):
+        """Releases the tasks placed at a runner, except the runs that are ``listed``.
 
-        The caller has made sure that the released runs are over.
+        The caller has made sure that the released runs are over. How they ended is
+        unknown if ``listed`` is None.
         """
         for job in partition.all_jobs:
-            for task in job.placed():
-                if task.runner != view.name or (task.id, task.run) in keep:
-                    continue
+            released = [
+                task
+                for task in job.placed()
+                if task.runner == view.name
+                and (listed is None or (task.id, task.run) not in listed)
+            ]
+            for task in released:
                 view.drop_assignment((task.id, task.run))
                 self._release(job, task, reason)
+            if listed is None:
+                for task in released:
+                    job.reserve_replacement(task, partition.epoch)
             self.close_transient(job, now)
 
     def _release(self, job, task, reason):
--- a/packages/jobs/banyanwheel_jobs/records.py
+++ b/packages/jobs/banyanwheel_jobs/records.py
@@ -42,6 +42,8 @@
     """The end of a job; ``ended_ms`` is Unix time.
 
     ``done`` is as in :class:`Progress`; ``fingerprint`` is that of the submission.
+    ``replacements`` are the runs, not all of them placed, that replaced one whose end
+    was unknown. It may have ended before they started.
     """
 
     state: JobState
@@ -49,13 +51,26 @@
     done: tuple[tuple[int, int, int], ...] = ()
     reason: str = ""
     fingerprint: bytes = b""
-
-    def completing_run(self, task):
-        """Returns the number of the run that completed a task, or None if unknown."""
-        for step, index, run in self.done:
-            if (step, index) == (task.step, task.index):
-                return run
-        return None
+    replacements: tuple[tuple[int, int, int], ...] = ()
+
+    def supersedes(self, task, run):
+        """Tells whether a later run of the task may have started after this run ended.
+
+        A run that completed its task is not superseded.
+        """
+        completing = _run_of(task, self.done)
+        if completing is not None:
+            return run != completing
+        replacement = _run_of(task, self.replacements)
+        return replacement is not None and run < replacement
+
+
+def _run_of(task, runs):
+    """Returns the run of a task among (step, index, run), None if there is none."""
+    for step, index, run in runs:
+        if (step, index) == (task.step, task.index):
+            return run
+    return None
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/packages/jobs/banyanwheel_jobs/runners/overdue.py
+++ b/packages/jobs/banyanwheel_jobs/runners/overdue.py
@@ -64,9 +64,7 @@
         if running or now < self._lease_expires_at + LEASE_EXPIRY_MARGIN_S:
             return
         for key in self._pending_lapse.keys:
-            self._ends.pop(key, None)
-            self._add_tombstone(key)
-            self._cursor.acknowledge(key)
+            self._forget_end(key)
         self._pending_lapse = None
 
     def _refuse_waiting(self, reason):
--- a/packages/jobs/banyanwheel_jobs/runners/owner_messages.py
+++ b/packages/jobs/banyanwheel_jobs/runners/owner_messages.py
@@ -126,18 +126,36 @@
     def handle_end_acknowledgements(self, message, now):
         """Forgets ends that their owner has stored.
 
-        Superseded ends are kept until the worker's lease has lapsed.
+        Superseded ends are kept until the worker's lease has lapsed, and so are those
+        that are so old that their owner may not know any more how the job ended.
         """
         for item in message.runs:
             key = (item.task, item.run)
-            self._ends.pop(key, None)
-            self._add_tombstone(key)
-            self._cursor.acknowledge(key)
+            entry = self._ends.get(key)
+            if entry is not None and entry.listed and entry.is_old(now):
+                self._wait_for_lapse(key, now)
+            else:
+                self._forget_end(key)
         for item in message.superseded:
-            if self._pending_lapse is None:
-                self._pending_lapse = _PendingLapse(now)
-                self._event_log("worker:lapse", task=str(item.task), run=item.run)
-            self._pending_lapse.keys.add((item.task, item.run))
+            key = (item.task, item.run)
+            entry = self._ends.get(key)
+            if entry is None:
+                continue  # it was acknowledged while the message was on its way
+            if entry.listed:
+                self._wait_for_lapse(key, now)
+            else:
+                self._forget_end(key)
+
+    def _forget_end(self, key):
+        self._ends.pop(key, None)
+        self._add_tombstone(key)
+        self._cursor.acknowledge(key)
+
+    def _wait_for_lapse(self, key, now):
+        if self._pending_lapse is None:
+            self._pending_lapse = _PendingLapse(now)
+            self._event_log("worker:lapse", task=str(key[0]), run=key[1])
+        self._pending_lapse.keys.add(key)
 
     def report(self, owner, now):
         """Returns a Report with all runs and ends that concern ``owner``."""
--- a/packages/jobs/banyanwheel_jobs/runners/runs.py
+++ b/packages/jobs/banyanwheel_jobs/runners/runs.py
@@ -22,6 +22,9 @@
     ENDED = "ended"
 
 
+# Less than owners remember how a job ended, whatever their settings.
+MAX_END_AGE_S = 20.0
+
 _RUN_CHART = Chart.load("run").bind(RunState)
 STATES_ON_WORKER = frozenset(RunState) - {RunState.WAITING, RunState.ENDED}
 
@@ -84,12 +87,23 @@
     """An end that its owner has not acknowledged yet.
 
     ``number`` is the worker's number for it, None if the worker did not list it.
+    ``known_at`` is in seconds of the runner's clock.
     """
 
     end: object  # a RunEnd
     owner: object
+    known_at: float
     number: int | None = None
 
+    @property
+    def listed(self):
+        """Whether the worker lists the end, until it is acknowledged."""
+        return self.number is not None
+
+    def is_old(self, now):
+        """Tells whether the owner may have forgotten how the job ended."""
+        return now - self.known_at > MAX_END_AGE_S
+
 
 def resources_used(runs):
     """Returns the resources of all runs that are, or may be, on the worker."""
--- a/packages/jobs/banyanwheel_jobs/runners/worker_reconciliation.py
+++ b/packages/jobs/banyanwheel_jobs/runners/worker_reconciliation.py
@@ -67,7 +67,7 @@
             run_ms,
             ended.kind,
         )
-        self._ends[key] = UnacknowledgedEnd(end, owner, ended.number)
+        self._ends[key] = UnacknowledgedEnd(end, owner, now, ended.number)
         if partition == TRANSIENT_PARTITION:
             # Transient jobs are not stored, so their ends need not wait for the owner.
             self._cursor.acknowledge(key)
@@ -147,7 +147,7 @@
         run.transition("end")
         run_ms = round((now - run.started_at) * 1000) if run.started_at else 0
         end = RunEnd(run.partition, *run.key, kind, run.checkpoint, run_ms, reason)
-        self._ends[run.key] = UnacknowledgedEnd(end, run.owner)
+        self._ends[run.key] = UnacknowledgedEnd(end, run.owner, now)
         self._add_owner_to_notify(run.partition, run.owner)
         self._add_tombstone(run.key)
         self._event_log(
--- a/tests/jobs/owners/test_replaced_runs.py
+++ b/tests/jobs/owners/test_replaced_runs.py
@@ -1,7 +1,78 @@
 """Runs that were replaced while their ends were unknown, and are heard of later."""
 
+import pytest
+
+from banyanwheel_jobs.model import JobState, TaskId
+from banyanwheel_jobs.records import Ended
+
 from .test_stored import JOB, owned_world, run
 
+RETENTION_S = 95.0  # longer than the owners here keep the ends of jobs
+CUT_S = 5.5  # longer than an owner waits before it replaces the runs of a silent runner
+
+
+def replaced_world():
+    """Returns a world in which run 1 has ended unheard, and names of both runners.
+
+    The first is cut off from both owners; run 2 has been started on the other.
+    """
+    world = owned_world()
+    world.run_s = 0.9
+    world.submit_stored("owner-0", JOB, tasks=1)
+    run(world, 0.3)
+    holder = next(name for name in world.runners if world.workers[name].running)
+    cut_off(world, holder)
+    run(world, CUT_S)
+    assert [len(times) for times in world.starts.values()] == [2]
+    return world, holder, next(name for name in world.runners if name != holder)
+
+
+def cut_off(world, runner, cut=True):
+    for owner in world.owners:
+        world.cut(owner, runner, cut)
+
+
+def cancel(world, owner="owner-0"):
+    replies = []
+    world.owners[owner].cancel(JOB, replies.append, world.now)
+    run(world, 0.1)
+    assert [reply.state for reply in replies] == [JobState.CANCELED]
+
+
+def move(world, owner="owner-1"):
+    """Kills the owner of the partition, and another takes it over."""
+    cut = {link for link, state in world.links.items() if state.cut}
+    world.start_owner(world.log.assigned_to)
+    for link in cut:
+        world.links[link].cut = True
+    world.log.assign(owner)
+    run(world, 0.3)
+
+
+# Guards against an end that is acknowledged as its job was canceled (review/11).
+@pytest.mark.parametrize("killed", [False, True])
+def test_the_end_of_a_replaced_run_of_a_canceled_job_waits_for_a_lapse(killed):
+    world, holder, _ = replaced_world()
+    cancel(world)
+    if killed:
+        move(world)
+    cut_off(world, holder, cut=False)
+    run(world, 4.0)
+    assert world.faults == []
+    assert not world.workers[holder].ended
+
+
+# Guards against the same once the owner has forgotten the canceled job.
+def test_the_end_of_a_replaced_run_of_a_forgotten_job_waits_for_a_lapse():
+    world, holder, _ = replaced_world()
+    cancel(world)
+    run(world, RETENTION_S)
+    assert not world.owners["owner-0"].partitions[0].ended
+    cut_off(world, holder, cut=False)
+    run(world, 4.0)
+    assert world.faults == []
+    assert not world.workers[holder].ended
+
 
 # Guards against a run that an owner gives up as its runner follows the next owner.
 def test_a_former_owner_does_not_replace_the_runs_that_the_new_owner_knows():
@@ -18,3 +89,22 @@
     world.log.assign("owner-1")
     run(world, 8.0)
     assert world.faults == []
+
+
+@pytest.mark.parametrize(
+    ("run_number", "done", "replacements", "superseded"),
+    [
+        (1, (), (), False),
+        (1, (), ((0, 0, 2),), True),
+        (2, (), ((0, 0, 2),), False),
+        (1, (), ((0, 1, 2),), False),
+        (1, ((0, 0, 2),), (), True),
+        (2, ((0, 0, 2),), ((0, 0, 2),), False),
+        (1, ((0, 0, 1),), ((0, 0, 2),), False),
+    ],
+)
+def test_an_ended_job_knows_which_ends_are_superseded(
+    run_number, done, replacements, superseded
+):
+    ended = Ended(JobState.CANCELED, 0, done, replacements=replacements)
+    assert ended.supersedes(TaskId(JOB, 0, 0, 0), run_number) is superseded
