A task is replaced only once the log has the number of its next run

What callers saw: a task had effect twice.

Cause: that a task was placed again was known to its owner only. The next one takes any end of a task without a known run.

Change: an owner stores the next run's number before it places a task whose last run's end is unknown: after a runner's silence, and after a takeover that was decided by time. A next owner restores it as the newest run, so that ends of earlier ones are superseded in any order of reports, also if no runner remembers the replacement.

--- a/packages/daemon/banyanwheel_daemon/event_log.py
+++ b/packages/daemon/banyanwheel_daemon/event_log.py
@@ -28,6 +28,7 @@
     "inspection:",
     "request:refused",
     "task:released",
+    "task:replacement-storing",
     "task:retry",
     "task:stopped",
     "task:superseded",
--- a/packages/jobs/banyanwheel_jobs/owners/job.py
+++ b/packages/jobs/banyanwheel_jobs/owners/job.py
@@ -32,7 +32,8 @@
 
     ``run`` is the number of its newest run. ``failed_runs`` holds the numbers of the
     runs that failed. Until ``unknown_run_until``, in seconds of the owner's clock, a
-    run that the owner does not know of may still exist.
+    run that the owner does not know of may still exist. If the end of an earlier run is
+    ``end_unknown``, the task is placed once the log has the number of the next run.
     ``avoided_runners`` are the runners at which a run has failed or was stopped as a
     straggler. Since ``deferred_since`` the task waits for a better runner than those
     with room.
@@ -51,9 +52,15 @@
     measured_run: int = 0  # the newest run counted in the durations of its kind
     checkpoint: str = ""
     unknown_run_until: float = 0.0
+    end_unknown: bool = False
     avoided_runners: set = field(default_factory=set)
     deferred_since: float | None = None
 
+    @property
+    def waits_for_end(self):
+        """Whether the task waits, and the end of an earlier run is unknown."""
+        return self.state is TaskState.WAITING and self.end_unknown
+
     def apply_event(self, event):
         """Applies an event; raises ChartError if the state doesn't allow it."""
         self.state = _TASK.next(self.state, event)
@@ -198,7 +205,9 @@
 
     def _startable_of(self, number, now):
         for task in self.tasks[number]:
-            if task.state is TaskState.WAITING and task.unknown_run_until <= now:
+            if task.state is not TaskState.WAITING or task.end_unknown:
+                continue
+            if task.unknown_run_until <= now:
                 yield task
 
     def startable(self, now):
@@ -231,6 +240,7 @@
 
     def reserve_replacement(self, task, epoch):
         """Reserves the number of the run that replaces one whose end is unknown."""
+        task.end_unknown = True
         self.replacements[task.id] = self._next_run(task, epoch)
 
     def adopt(self, task, run, runner):
@@ -238,6 +248,7 @@
         task.run = max(task.run, run)
         task.apply_event("adopt")
         task.runner = runner
+        task.end_unknown = False
         self.unproven_runs.add((task.id, run, runner))
 
     def begin(self):
@@ -277,8 +288,14 @@
             task = self.find(TaskId(self.id, 0, step, index))
             if task is not None:
                 task.failed_runs.add(run)
+        for step, index, run in progress.replacements:
+            task = self.find(TaskId(self.id, 0, step, index))
+            if task is not None:
+                self.replacements[task.id] = run
+                task.run = max(task.run, run)
         self.progress_stored = True
-        self.apply_event("start")
+        if progress.done or progress.failed:
+            self.apply_event("start")
 
     def replacement_runs(self):
         """Returns (step, index, run) of the reserved replacements."""
--- a/packages/jobs/banyanwheel_jobs/owners/partition.py
+++ b/packages/jobs/banyanwheel_jobs/owners/partition.py
@@ -65,6 +65,7 @@
             for tasks in job.tasks:
                 for task in tasks:
                     task.unknown_run_until = unknown_run_until
+                    task.end_unknown = True
         partition.expiring = deque(sorted(partition.expiring))
         return partition
 
@@ -126,12 +127,24 @@
         )
 
     def mark_surveyed(self):
-        """Records that the owner knows every run of the partition's tasks."""
+        """Records that the owner knows every run and end of the partition's tasks."""
+        for _, tasks in self.end_survey():
+            for task in tasks:
+                task.end_unknown = False
+
+    def end_survey(self):
+        """Records that no run goes on that the owner doesn't know of.
+
+        Returns (job, tasks) pairs of the tasks with a run whose end may be unknown.
+        """
         self.surveyed = True
+        unknown = []
         for job in self.jobs.values():
-            for tasks in job.tasks:
-                for task in tasks:
-                    task.unknown_run_until = 0.0
+            tasks = [task for tasks in job.tasks for task in tasks]
+            for task in tasks:
+                task.unknown_run_until = 0.0
+            unknown.append((job, [task for task in tasks if task.waits_for_end]))
+        return unknown
 
     def find(self, task_id):
         """Returns the job and the task with an id, each None if there is none."""
--- a/packages/jobs/banyanwheel_jobs/owners/supervision.py
+++ b/packages/jobs/banyanwheel_jobs/owners/supervision.py
@@ -127,10 +127,33 @@
                 view.drop_assignment((task.id, task.run))
                 self._release(job, task, reason)
             if listed is None:
-                for task in released:
-                    job.reserve_replacement(task, partition.epoch)
+                self._store_replacements(partition, job, released)
             self.close_transient(job, now)
 
+    def _store_replacements(self, partition, job, tasks):
+        """Has tasks placed again once the log has the numbers of their next runs.
+
+        The ends of earlier runs may be reported later, perhaps to another owner, which
+        then knows that they must not be acknowledged before a lapse.
+        """
+        if partition is self._transient or not tasks or not job.live:
+            return
+        for task in tasks:
+            job.reserve_replacement(task, partition.epoch)
+        self._event_log(
+            "task:replacement-storing",
+            job=job.id,
+            runs=[f"{task.id}#{job.replacements[task.id]}" for task in tasks],
+        )
+
+        def stored():
+            for task in tasks:
+                task.end_unknown = False
+            if job.live:
+                self._waiting.add(job)
+
+        self._store_job_progress(partition, job, stored)
+
     def _release(self, job, task, reason):
         self._event_log(
             "task:released",
@@ -156,8 +179,12 @@
             view.reconciled and view.epochs.get(partition.number) == partition.epoch
             for view in self._views.values()
         )
-        if all_reported or now - partition.opened_at > self._replacement_s:
+        if all_reported:
             partition.mark_surveyed()
+        elif now - partition.opened_at > self._replacement_s:
+            for job, tasks in partition.end_survey():
+                self._store_replacements(partition, job, tasks)
+        if partition.surveyed:
             self._event_log(
                 "partition:surveyed",
                 partition=partition.number,
@@ -174,14 +201,20 @@
             ):
                 self._store_job_progress(partition, job)
 
-    def _store_job_progress(self, partition, job):
+    def _store_job_progress(self, partition, job, on_stored=None):
         ends, job.unstored_ends = job.unstored_ends, {}
         job.storing_ends.update(ends)
         job.progress_stored = True
-        record = encode(Progress(job.done_runs(), job.failed_runs()))
-        partition.journal.add(
-            [(progress_key(job.id), record)], lambda: self._acknowledge_ends(job, ends)
+        record = encode(
+            Progress(job.done_runs(), job.failed_runs(), job.replacement_runs())
         )
+
+        def stored():
+            self._acknowledge_ends(job, ends)
+            if on_stored is not None:
+                on_stored()
+
+        partition.journal.add([(progress_key(job.id), record)], stored)
         self._store(partition)
 
     def _expire_ended_jobs(self, partition):
--- a/packages/jobs/banyanwheel_jobs/records.py
+++ b/packages/jobs/banyanwheel_jobs/records.py
@@ -32,18 +32,22 @@
 
 
 class Progress(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """Done and failed runs of a job, as (step, index, run)."""
+    """Done and failed runs of a job, as (step, index, run).
+
+    ``replacements`` are the runs, not all of them placed, that replaced one whose end
+    was unknown. It may have ended before they started.
+    """
 
     done: tuple[tuple[int, int, int], ...]
     failed: tuple[tuple[int, int, int], ...]
+    replacements: tuple[tuple[int, int, int], ...] = ()
 
 
 class Ended(msgspec.Struct, frozen=True, array_like=True, tag=3):
     """The end of a job; ``ended_ms`` is Unix time.
 
-    ``done`` is as in :class:`Progress`; ``fingerprint`` is that of the submission.
-    ``replacements`` are the runs, not all of them placed, that replaced one whose end
-    was unknown. It may have ended before they started.
+    ``done`` and ``replacements`` are as in :class:`Progress`; ``fingerprint`` is that
+    of the submission.
     """
 
     state: JobState
--- a/tests/jobs/owners/test_replaced_runs.py
+++ b/tests/jobs/owners/test_replaced_runs.py
@@ -74,6 +74,71 @@
     assert not world.workers[holder].ended
 
 
+# Guards against a new owner that hears of run 1 before it hears of run 2 (review/12).
+def test_a_new_owner_that_hears_of_a_replaced_run_first_does_not_take_its_end():
+    world, holder, other = replaced_world()
+    cut_off(world, other)
+    move(world)
+    cut_off(world, holder, cut=False)
+    run(world, 1.0)
+    cut_off(world, other, cut=False)
+    run(world, 12.0)
+    assert world.faults == []
+    assert world.state(JOB) == ("state", JobState.COMPLETED)
+
+
+# Guards against the same where run 2 has left no trace at its worker (review/12).
+@pytest.mark.parametrize("canceled", [False, True])
+def test_a_new_owner_knows_of_a_replaced_run_that_no_worker_remembers(canceled):
+    world, holder, other = replaced_world()
+    world.workers[other].crash()
+    run(world, 0.2)
+    cut_off(world, other)
+    move(world)
+    if canceled:
+        cancel(world, "owner-1")
+    cut_off(world, holder, cut=False)
+    run(world, 1.0)
+    cut_off(world, other, cut=False)
+    run(world, 12.0)
+    assert world.faults == []
+
+
+# Guards against a replacement by an owner that never heard of the first run.
+def test_a_run_that_is_replaced_after_a_takeover_is_known_to_the_owner_after_it():
+    world = owned_world()
+    world.run_s = 0.9
+    world.submit_stored("owner-0", JOB, tasks=1)
+    run(world, 0.3)
+    holder = next(name for name in world.runners if world.workers[name].running)
+    cut_off(world, holder)
+    move(world)
+    run(world, CUT_S - 0.5)
+    assert [len(times) for times in world.starts.values()] == [2]
+    cut_off(world, next(name for name in world.runners if name != holder))
+    move(world, "owner-0")
+    cut_off(world, holder, cut=False)
+    run(world, 12.0)
+    assert world.faults == []
+
+
+def test_a_task_is_not_placed_again_before_the_log_knows_it():
+    world = owned_world()
+    world.run_s = 0.9
+    world.submit_stored("owner-0", JOB, tasks=1)
+    run(world, 0.3)
+    holder = next(name for name in world.runners if world.workers[name].running)
+    cut_off(world, holder)
+    world.holds_appends = True
+    run(world, CUT_S)
+    assert [len(times) for times in world.starts.values()] == [1]
+    stored = [name for name, _ in world.event_log.events if "replacement" in name]
+    assert stored == ["task:replacement-storing"]
+    world.holds_appends = False
+    run(world, 4.0)
+    assert world.state(JOB) == ("state", JobState.COMPLETED)
+
+
 # Guards against a run that an owner gives up as its runner follows the next owner.
 def test_a_former_owner_does_not_replace_the_runs_that_the_new_owner_knows():
     world = owned_world()
--- a/tests/jobs/test_mechanisms.py
+++ b/tests/jobs/test_mechanisms.py
@@ -8,15 +8,18 @@
 from banyanwheel_jobs.authority import StampTracker
 from banyanwheel_jobs.cells.forwarding import HostedJobs
 from banyanwheel_jobs.owners import owner
+from banyanwheel_jobs.owners.job import Job
 from banyanwheel_jobs.owners.journal import Journal
 from banyanwheel_jobs.owners.partition import Partition
+from banyanwheel_jobs.owners.supervision import Supervision
 from banyanwheel_jobs.runners.lease import Lease
 from banyanwheel_jobs.runners.owner_messages import OwnerMessages
 from banyanwheel_jobs.runners.runner import Runner
+from banyanwheel_jobs.runners.runs import UnacknowledgedEnd
 from banyanwheel_jobs.runners.worker_reconciliation import WorkerReconciliation
 
 from .cells import test_forwarding
-from .owners import test_stored, test_transient
+from .owners import test_replaced_runs, test_stored, test_transient
 from .runners import test_lease, test_runner
 
 _refusal_reason = OwnerMessages._refusal_reason
@@ -80,6 +83,12 @@
     return partition
 
 
+def _reserve_only(self, partition, job, tasks):
+    for task in tasks:
+        job.reserve_replacement(task, partition.epoch)
+        task.end_unknown = False
+
+
 # By mechanism: a patch that disables it, a function that returns the argument of the
 # test, and the test that must then fail.
 MECHANISMS = {
@@ -191,6 +200,30 @@
         test_stored.owned_world,
         test_stored.test_an_end_of_a_task_started_elsewhere_waits_for_the_lease_to_lapse,
     ),
+    "the end of a job has the runs that were replaced": (
+        patch.object(Job, "replacement_runs", lambda self: ()),
+        lambda: True,
+        test_replaced_runs.test_the_end_of_a_replaced_run_of_a_canceled_job_waits_for_a_lapse,
+    ),
+    "old ends wait for a lapse": (
+        patch.object(UnacknowledgedEnd, "is_old", lambda self, now: False),
+        lambda: None,
+        lambda _: (
+            test_replaced_runs.test_the_end_of_a_replaced_run_of_a_forgotten_job_waits_for_a_lapse()
+        ),
+    ),
+    "a replacement is stored before it is placed": (
+        patch.object(Supervision, "_store_replacements", _reserve_only),
+        lambda: False,
+        test_replaced_runs.test_a_new_owner_knows_of_a_replaced_run_that_no_worker_remembers,
+    ),
+    "a report counts if the runner follows this ownership": (
+        patch.object(Supervision, "_reports_on", lambda self, view, partition: True),
+        lambda: None,
+        lambda _: (
+            test_replaced_runs.test_a_former_owner_does_not_replace_the_runs_that_the_new_owner_knows()
+        ),
+    ),
 }
 
 
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -125,6 +125,7 @@
         self.resubmitted = set()  # jobs whose callers left and came back
         self.log = LogModel()
         self.log_unreachable = set()
+        self.holds_appends = False  # the log answers renewals only
         self.late_starts = set()  # runners whose starts reach the worker late
         self.lost_stops = set()  # runners whose stops do not reach the worker
         self.claims = {}
@@ -358,7 +359,7 @@
         """Appends the records that an owner has queued to the log."""
         owner = self.owners[name]
         partition = owner.partitions.get(0)
-        if partition is None or name in self.log_unreachable:
+        if partition is None or name in self.log_unreachable or self.holds_appends:
             return
         while batch := partition.journal.next_batch():
             if not self.log.append(partition.epoch, batch.records):
