The cancel of an unknown job no longer hides the end of an assignment

No other name stands twice in the classes that make up Owner (listed by a script, not kept).

Evidence: the state machine of tests/jobs failed with the TypeError, and passes.

--- a/packages/jobs/banyanwheel_jobs/owners/owner.py
+++ b/packages/jobs/banyanwheel_jobs/owners/owner.py
@@ -292,7 +292,7 @@
             pending = partition.pending_submissions[job_id]
             return pending.wait(partial(self.cancel, job_id, reply, now))
         elif job_id not in partition.jobs:
-            self._withdraw(partition, job_id, reply)
+            self._store_withdrawal(partition, job_id, reply)
         else:
             job = partition.jobs[job_id]
             job.on_final.append(reply)
@@ -300,7 +300,7 @@
                 self._end_job(partition, job, "cancel", "canceled")
         return None
 
-    def _withdraw(self, partition, job_id, reply):
+    def _store_withdrawal(self, partition, job_id, reply):
         """Stores that an id was canceled; a submission that arrives later is not run.
 
         Submissions that come while this is being stored are appended after it.
