The checker finds starts between an end and its taking, and after a 410

It looked only for starts after an end was taken note of, not for those between the end and the taking, and took only the answer 'canceled' for the acknowledgement of a cancel.

Change: an end that is taken note of counts from the end itself, unless the lease lapsed in between; a 410 for a stored job counts as a cancel.

Tests: two broken and two sound histories in test_checker.py; the broken ones had no finding before.

--- a/tests/standins/checker.py
+++ b/tests/standins/checker.py
@@ -119,8 +119,12 @@
 
 
 def _starts_after_taken_ends(story):
-    """A start of a stored job's task after an end ``done`` was taken note of."""
+    """A start of a stored job's task after an end ``done`` that is ever taken note of.
+
+    It counts from the end itself, if the worker's lease didn't lapse before the taking.
+    """
     ended, taken, lapsed = {}, {}, {}
+    starts = defaultdict(list)
     for event in story.events:
         match event:
             case LeaseLapsed():
@@ -131,8 +135,14 @@
                 done_at = ended[event.process, event.task, event.run]
                 if lapsed.get(event.process, 0.0) < done_at:
                     taken.setdefault(event.task, event)
-            case TaskStarted() if event.task in taken:
-                if event.job in story.stored_jobs:
+                    for start in starts[event.task]:
+                        if start.at > done_at:
+                            message = f"run {start.run} started after the end of run "
+                            message += f"{event.run}, which is taken note of later"
+                            yield Violation(Promise.NON_IDEMPOTENT, event.task, message)
+            case TaskStarted() if event.job in story.stored_jobs:
+                starts[event.task].append(event)
+                if event.task in taken:
                     yield Violation(
                         Promise.NON_IDEMPOTENT,
                         event.task,
@@ -199,9 +209,14 @@
 
 
 def _starts_after_cancel(story):
+    """A start after a cancel was acknowledged, by the state or as of no such job.
+
+    The latter says nothing of a transient job at a dispatcher that is out of reach.
+    """
     canceled = {}
     for sent, told in story.answers("cancel"):
-        if told.state == "canceled":
+        unknown = told.status == 410 and sent.job in story.stored_jobs
+        if told.state == "canceled" or unknown:
             canceled[sent.job] = min(told.at, canceled.get(sent.job, told.at))
     for event in story.of(TaskStarted):
         at = canceled.get(event.job)
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -78,6 +78,20 @@
         LeaseLapsed(process="worker-1", at=3),
         started(4, "worker-2", 2),
     ],
+    [
+        sent(0),
+        started(1),
+        ended(2),
+        started(3, "worker-2", 2),
+        LeaseLapsed(process="worker-1", at=4),
+        taken(5),
+    ],
+    [
+        sent(0, stored=False),
+        sent(1, "r-2", "cancel", stored=False),
+        told(2, 410, request="r-2"),
+        started(6),
+    ],
     [LeaveAnnounced(process="worker-1", at=0), started(1)],
     [
         sent(0),
@@ -108,6 +122,10 @@
         Promise.NON_IDEMPOTENT,
         [sent(0), started(1), ended(2), taken(3), started(4, "worker-2", 2)],
     ),
+    (
+        Promise.NON_IDEMPOTENT,
+        [sent(0), started(1), ended(2), started(3, "worker-2", 2), taken(4)],
+    ),
     (
         Promise.WHOLE_ANSWER,
         [sent(0, tasks=2), started(1), ended(2), told(3, state="completed")],
@@ -138,6 +156,16 @@
             started(6.5),
         ],
     ),
+    (
+        Promise.NOT_RUN,
+        [
+            sent(0),
+            told(1, 504),
+            sent(2, "r-2", "cancel"),
+            told(3, 410, request="r-2"),
+            started(6.5),
+        ],
+    ),
     (Promise.LEAVING, [LeaveAnnounced(process="worker-1", at=0), started(2.5)]),
     (
         Promise.GRACEFUL_STOP,
