--- a/tests/daemon/test_request_gateway.py
+++ b/tests/daemon/test_request_gateway.py
@@ -274,3 +274,40 @@
     for number in range(MAX_UNCONFIRMED + 10):
         gateway.handle_ask(("one", 1), ForwardedRequest(number, "state", "a" * 16))
     assert len(ownership.callbacks) == MAX_UNCONFIRMED
+
+
+def test_a_cancel_that_is_not_stored_waits_for_the_log():
+    """It was answered as unknown by a renewal that said nothing of its journal."""
+
+    async def run():
+        ownership, owner, replies = ConfirmingOwnership(), open_owner(), []
+        gateway = build_gateway(owner, 4, ownership=ownership)
+        gateway.cancel("a" * 16, replies.append, 600.0)
+        journal = owner.partition_for("a" * 16).journal
+        for _ in range(2):
+            journal.refuse_pending()
+            assert (replies, len(ownership.callbacks)) == ([], 1)
+            ownership.confirm()
+        assert replies == []
+        journal.next_batch()
+        journal.mark_stored()
+        assert [reply.outcome for reply in replies] == [Outcome.UNKNOWN_JOB]
+        assert (gateway.waiting_requests, ownership.callbacks) == (0, [])
+
+    asyncio.run(run())
+
+
+def test_nothing_is_left_of_a_request_that_waited_for_a_submission():
+    async def run():
+        ownership, owner, replies = ConfirmingOwnership(), open_owner(), []
+        ownership.stalled = lambda partition: False
+        gateway = build_gateway(owner, 4, ownership=ownership)
+        steps = (Step(1, Resources(1_000), 100),)
+        gateway.submit("a" * 16, QUEUE, "", steps, replies.append, 5.0)
+        abandon = gateway.state("a" * 16, replies.append, 600.0)
+        pending = owner.partition_for("a" * 16).pending_submissions["a" * 16]
+        assert len(pending.requests) == 1
+        abandon()
+        assert (pending.requests, replies) == ([], [])
+
+    asyncio.run(run())
