A state machine cancels jobs and hears of runs that were replaced

It never canceled a stored job, and hardly ever kept a runner cut off until its runs were replaced.

Change: a second machine has rules for both, beside all others. The model of the world reads an idle worker's clock as the runner's process does: without it no task starts at a worker that was idle for a minute.

--- a/tests/jobs/test_state_machine.py
+++ b/tests/jobs/test_state_machine.py
@@ -35,6 +35,9 @@
 MAX_KINDS = 3
 # Callers submit a transient job again this long after their connection broke.
 RESUBMISSION_S = 1.3
+KEPT_S = 3_600  # longer than an example lasts
+REPLACED_S = 5.5  # the runs of a runner that is silent for so long were replaced
+CANCEL_S = 3.0  # a canceled job starts no task later than this after the answer
 MAX_OPEN_JOBS = 6  # leaves capacity for tasks that are run again
 WAITS = st.sampled_from([0.05, 0.3, 0.5, 1.0, 3.0])
 
@@ -57,10 +60,11 @@
     )
     def begin(self, kinds, run_s):
         self.kinds = kinds
-        self.world = World(run_s=run_s)
+        self.world = World(run_s=run_s, retention_s=KEPT_S)
         self.world.log.assign("owner-0")
         self.jobs = 0
         self.accepted = {}
+        self.canceled_at = {}  # time of the answer by job, None before it
         self.frozen = set()
         self.pass_time(1.0)
 
@@ -281,7 +285,13 @@
         assert self.world.faults == []
         for job_id, replies in self.accepted.items():
             if any(reply.outcome is Outcome.ACCEPTED for reply in replies):
-                assert self.world.state(job_id) == (Outcome.STATE, "completed")
+                finals = {"completed", "canceled"}
+                if job_id not in self.canceled_at:
+                    finals = {"completed"}
+                assert self.world.state(job_id)[1] in finals
+        for task, times in self.world.starts.items():
+            canceled_at = self.canceled_at.get(task.job)
+            assert canceled_at is None or max(times) <= canceled_at + CANCEL_S
 
 
 Faults.TestCase.settings = settings(
@@ -294,3 +304,60 @@
     suppress_health_check=list(HealthCheck),
 )
 TestFaults = Faults.TestCase
+
+
+class FaultsAndCancels(Faults):
+    """Also cancels jobs, and lets runs be heard of that were replaced meanwhile."""
+
+    @rule(
+        runner=st.sampled_from(RUNNERS),
+        run_s=st.sampled_from([0.6, 2.5]),
+        canceled=st.booleans(),
+        moved=st.booleans(),
+        wait=WAITS,
+    )
+    def hear_of_replaced_runs(self, runner, run_s, canceled, moved, wait):
+        """A runner is cut off until its runs are replaced, and is then heard again."""
+        self.world.run_s = run_s
+        self.submit_stored(tasks=2)
+        self.pass_time(0.3)
+        for owner in OWNERS:
+            self.world.cut(owner, runner)
+        self.pass_time(REPLACED_S)
+        if canceled:
+            self.cancel_job(list(self.accepted)[-1])
+            self.pass_time(0.1)
+        if moved:
+            owner = self.world.log.assigned_to
+            self.world.start_owner(owner)
+            self.world.log.assign(next(name for name in OWNERS if name != owner))
+        for owner in OWNERS:
+            self.world.cut(owner, runner, cut=False)
+        self.submit_and_wait(wait)
+
+    @rule(newest=st.booleans(), wait=WAITS)
+    def cancel(self, newest, wait):
+        jobs = [job for job in self.accepted if job not in self.canceled_at]
+        if jobs:
+            self.cancel_job(jobs[-1 if newest else 0])
+        self.submit_and_wait(wait)
+
+    @rule(wait=WAITS)
+    def cancel_before_the_submission(self, wait):
+        self.cancel_job(f"{self.jobs + 1:016x}")
+        self.submit_stored(tasks=1)
+        self.submit_and_wait(wait)
+
+    def cancel_job(self, job_id):
+        self.canceled_at.setdefault(job_id, None)
+
+        def reply(answer):
+            if answer.outcome in (Outcome.STATE, Outcome.UNKNOWN_JOB):
+                self.canceled_at[job_id] = self.world.now
+
+        owner = self.world.owners[self.world.log.assigned_to]
+        owner.cancel(job_id, reply, self.world.now)
+
+
+FaultsAndCancels.TestCase.settings = settings(Faults.TestCase.settings, max_examples=30)
+TestFaultsAndCancels = FaultsAndCancels.TestCase
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -104,8 +104,9 @@
     It also observes the workers: ``faults`` lists each guarantee that was violated.
     """
 
-    def __init__(self, owners=2, runners=2, run_s=0.12):
+    def __init__(self, owners=2, runners=2, run_s=0.12, retention_s=60):
         self.now = 100.0
+        self.retention_s = retention_s  # of the ends of jobs
         self.tick_number = 1
         self.run_s = run_s
         self.event_log = EventRecorder()
@@ -143,7 +144,7 @@
         owner = Owner(
             PARTITIONS,
             Placement("dc", 1.5),
-            retention_s=60,
+            retention_s=self.retention_s,
             wall_ms=lambda: round(self.now * 1000),
             send=lambda runner, message: self._send(name, runner, message),
             store=lambda partition: None,
@@ -255,7 +256,8 @@
                 runner.record_unanswered_stop(run)
             else:
                 worker.stop(run.key, runner.fence)
-        if runner.needs_polling and runner.should_renew_lease:
+        due = runner.needs_polling or runner.has_old_clock(self.now)
+        if due and runner.should_renew_lease:
             fence, acknowledged = runner.fence, runner.acknowledged
             lists = worker.renew_lease(
                 fence, acknowledged, runner.deadline_ms(self.now)
