The soak cuts runners off beside cancels, lost dispatchers and outages

Cause: the soak cut a runner off for 2.5 s at most, and no run of a stored job is replaced before 4.7 s; its callers never canceled.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -3,7 +3,9 @@
 Each seed starts a system behind proxies, has callers hand in jobs all the time, and
 injects faults in series and overlapping. With ``--wide`` orders are also late, herds
 are killed in series, and callers leave and come back; with ``--crowds`` clients that
-don't behave come in crowds beside the faults. What callers and workers saw is
+don't behave come in crowds beside the faults. With ``--doubts`` runners are cut off
+until their tasks run elsewhere, dispatchers are lost then, the log is away for seconds,
+and callers cancel their jobs meanwhile. What callers and workers saw is
 checked against every promise. The files of a seed that fails are kept.
 """
 
@@ -16,6 +18,7 @@
 
 from tests.standins.chaos import (
     crowd_chaos,
+    doubt_chaos,
     mixed_chaos,
     play as inject,
     wide_chaos,
@@ -23,7 +26,7 @@
 from tests.standins.cluster import Cluster
 from tests.standins.crowds import usage
 from tests.standins.layout import RARE_LABEL, Layout
-from tests.standins.load import Load, WideLoad
+from tests.standins.load import CancelingLoad, Load, WideLoad
 
 __all__ = ["app", "play"]
 
@@ -35,17 +38,27 @@
 MEMORY_MB = 128  # that a daemon assumes without settings
 
 
-def play(seed, directory, *, dispatchers=3, runners=4, faults=6, wide=False, crowds=0):
+def play(
+    seed,
+    directory,
+    *,
+    dispatchers=3,
+    runners=4,
+    faults=6,
+    wide=False,
+    doubts=False,
+    crowds=0,
+):
     """Plays one seed; returns the broken promises and the faults that were injected."""
     if wide:
         layout = Layout.uneven(dispatchers, runners)
     else:
         layout = Layout(dispatchers, runners, proxied=True)
     with Cluster(layout, directory) as cluster:
-        load = WideLoad(cluster, RARE_LABEL) if wide else Load(cluster, CALLERS)
+        load = _load(cluster, seed, wide, doubts)
         load.start()
         try:
-            chaos = _chaos(cluster, faults, seed, wide)
+            chaos = _chaos(cluster, faults, seed, wide, doubts)
             injected = inject([*chaos, *crowd_chaos(cluster, crowds, seed)])
         finally:
             load.stop()
@@ -57,7 +70,15 @@
     return findings, injected
 
 
-def _chaos(cluster, faults, seed, wide):
+def _load(cluster, seed, wide, doubts):
+    if doubts:
+        return CancelingLoad(cluster, seed)
+    return WideLoad(cluster, RARE_LABEL) if wide else Load(cluster, CALLERS)
+
+
+def _chaos(cluster, faults, seed, wide, doubts):
+    if doubts:
+        return doubt_chaos(cluster, faults, seed)
     if wide:
         return wide_chaos(cluster, faults, seed)
     return mixed_chaos(cluster, faults, seed, restarts=True)
@@ -97,6 +118,7 @@
     dispatchers: int = 3,
     runners: int = 4,
     wide: Annotated[bool, typer.Option(help="The wider set of faults.")] = False,
+    doubts: Annotated[bool, typer.Option(help="Cuts, outages and cancels.")] = False,
     crowds: Annotated[int, typer.Option(help="Crowds of clients, one by one.")] = 0,
     keep: Annotated[Path, typer.Option(help="Folder for failed seeds.")] = Path(
         "build/soak"
@@ -115,6 +137,7 @@
             runners=runners,
             faults=faults,
             wide=wide,
+            doubts=doubts,
             crowds=crowds,
         )
         for finding in findings:
--- a/tests/features/chaos.feature
+++ b/tests/features/chaos.feature
@@ -60,3 +60,21 @@
       | seed |
       | 1    |
       | 2    |
+
+  # Guards against ends, submissions and cancels that are answered while they are in
+  # doubt: runners that are heard again after their tasks were replaced, dispatchers
+  # that are lost then, outages of the log over submissions and cancels. Both seeds found
+  # ends that were taken note of though their runs had been replaced.
+  @at-most-once @non-idempotent @not-run @own-answer
+  Scenario Outline: Cuts and outages beside cancels and lost dispatchers
+    Given a system of 3 dispatchers and 4 runners, with proxies before the runners
+    And callers that cancel some of their jobs, with the seed <seed>
+    When 6 cuts and outages leave answers in doubt with the seed <seed>
+    And the callers stop
+    Then every accepted job of the callers ends
+    And every promise is kept
+
+    Examples:
+      | seed |
+      | 12   |
+      | 13   |
--- a/tests/promises/conftest.py
+++ b/tests/promises/conftest.py
@@ -11,7 +11,13 @@
 from banyanwheel_client.errors import ClientError
 from banyanwheel_jobs.cells.cell import CELL_PLACERS
 from tests.standins.calls import in_thread
-from tests.standins.chaos import crowd_chaos, mixed_chaos, play, wide_chaos
+from tests.standins.chaos import (
+    crowd_chaos,
+    doubt_chaos,
+    mixed_chaos,
+    play,
+    wide_chaos,
+)
 from tests.standins.cluster import Cluster
 from tests.standins.crowds import usage
 from tests.standins.history import LeaseLapsed, TaskStarted
@@ -316,6 +322,15 @@
     play(wide_chaos(world.cluster, count, seed))
 
 
+@when(
+    parsers.parse(
+        "{count:d} cuts and outages leave answers in doubt with the seed {seed:d}"
+    )
+)
+def run_doubt_chaos(world, count, seed):
+    play(doubt_chaos(world.cluster, count, seed))
+
+
 @when(
     parsers.parse(
         "{count:d} faults hit each half of the system with the seed {seed:d}, beside "
--- a/tests/promises/submissions.py
+++ b/tests/promises/submissions.py
@@ -5,7 +5,7 @@
 from pytest_bdd import given, parsers, when
 
 from tests.standins.layout import RARE_LABEL
-from tests.standins.load import Load, WideLoad, Work
+from tests.standins.load import CancelingLoad, Load, WideLoad, Work
 
 LOAD_CALLERS = 4
 TRANSIENT_CALLERS = 2  # stored jobs get no answer while the log is away
@@ -26,6 +26,13 @@
     stack.callback(world.load.stop)
 
 
+@given(parsers.parse("callers that cancel some of their jobs, with the seed {seed:d}"))
+def start_canceling_load(world, stack, seed):
+    world.load = CancelingLoad(world.cluster, seed)
+    world.load.start()
+    stack.callback(world.load.stop)
+
+
 @given("callers of long jobs, which come back until they are answered")
 def start_long_load(world, stack):
     world.load = Load(world.cluster, LOAD_CALLERS, TRANSIENT_CALLERS, LONG_WORK)
--- a/tests/standins/chaos.py
+++ b/tests/standins/chaos.py
@@ -8,7 +8,7 @@
 
 from .crowds import IDLE_ATTACKS, SERVERS, Crowd
 
-__all__ = ["crowd_chaos", "mixed_chaos", "play", "wide_chaos"]
+__all__ = ["crowd_chaos", "doubt_chaos", "mixed_chaos", "play", "wide_chaos"]
 
 LONGEST_PAUSE_S = 0.5
 LONGEST_FAULT_S = 2.5
@@ -16,6 +16,10 @@
 CROWD_CLIENTS = 60
 CROWD_TIMEOUT_S = 2.0  # of a client whose server stands still
 BETWEEN_KILLS_S = (3.0, 10.0)
+# A stored job's run is replaced 4.7 s after its runner was last heard.
+LONG_CUT_S = (4.4, 5.4)
+OUTAGE_S = (1.0, 5.0)
+BETWEEN_OUTAGES_S = (4.0, 10.0)
 LATEST_HEARTBEAT_MS = 500  # of a worker that has started again
 WORKER_FAULTS = (
     {"hang": True},
@@ -68,6 +72,16 @@
     ]
 
 
+def doubt_chaos(cluster, count, seed):
+    """Returns what leaves ends, submissions and cancels in doubt."""
+    numbers = range(1, cluster.layout.runners + 1)
+    kinds = _CutChaos, _OutageChaos
+    return [
+        kind(cluster, numbers, count, seed * len(kinds) + index)
+        for index, kind in enumerate(kinds)
+    ]
+
+
 def crowd_chaos(cluster, count, seed):
     """Returns what sends crowds of clients to the servers of the daemons."""
     numbers = range(1, cluster.layout.runners + 1)
@@ -266,6 +280,50 @@
         ]
 
 
+class _CutChaos(_Chaos):
+    """A runner is cut off until its tasks run elsewhere, and is then heard again.
+
+    A dispatcher is lost shortly before that, at times.
+    """
+
+    @property
+    def _faults(self):
+        return [self._cut_off, self._cut_off_and_kill]
+
+    def _cut_off(self, number):
+        proxy = f"proxy-{number}"
+        self._cluster.set_faults(proxy, cut=True)
+        time.sleep(self._random.uniform(*LONG_CUT_S))
+        return lambda: self._cluster.set_faults(proxy)
+
+    def _cut_off_and_kill(self, number):
+        heal = self._cut_off(number)
+        name = self._random.choice(self._cluster.layout.dispatcher_names)
+        time.sleep(self._random.uniform(0, LONGEST_PAUSE_S))
+        self._cluster.kill(name)
+
+        def mend():
+            heal()
+            time.sleep(self._random.uniform(0, LONGEST_FAULT_S))
+            self._cluster.start_again(name)
+
+        return mend
+
+
+class _OutageChaos(_Chaos):
+    """The log is away for some seconds, and then well for some."""
+
+    @property
+    def _faults(self):
+        return [self._log_away]
+
+    def _log_away(self, number):
+        time.sleep(self._random.uniform(*BETWEEN_OUTAGES_S))
+        mend = self._disturb("log", LOG_FAULTS)
+        time.sleep(self._random.uniform(*OUTAGE_S))
+        return mend
+
+
 class _CrowdChaos(_Chaos):
     """Crowds of clients come to a server of a daemon, stay for a while and leave."""
 
--- a/tests/standins/load.py
+++ b/tests/standins/load.py
@@ -2,15 +2,22 @@
 
 import threading
 from dataclasses import dataclass
+from random import Random
 
 from .caller import ANSWER_TIMEOUT_S, job_of
 from .calls import call
 
-__all__ = ["RESEND_S", "Load", "WideLoad", "Work"]
+__all__ = ["RESEND_S", "CancelingLoad", "Load", "WideLoad", "Work"]
 
 PAUSE_S = 0.05
 RESEND_S = 1.3  # a caller hands a job in again this long after a lost answer
 TRIES = 6
+CANCELERS = 24
+CANCELED_RUN_MS = 2_000
+CANCELED_CPU = 100  # many of them run at the same time
+# While the submission may be in doubt, and after a run that was cut off is replaced.
+CANCEL_DELAYS_S = ((0.0, 1.0), (4.7, 8.0))
+CANCEL_TRIES = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +105,58 @@
             return False
 
 
+class CancelingLoad:
+    """Callers who hand stored jobs in and cancel them, or some of them.
+
+    They don't wait for the answer to a submission, and cancel at another dispatcher
+    until that is acknowledged. ``told`` has the jobs that they leave to end, as that of
+    :class:`Load`.
+    """
+
+    def __init__(self, cluster, seed):
+        self.told = []
+        self._cluster = cluster
+        self._names = list(cluster.layout.dispatcher_names)
+        self._stopped = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(number, Random(seed + number)))
+            for number in range(CANCELERS)
+        ]
+
+    def start(self):
+        """Begins to submit."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self):
+        """Ends after the jobs in progress are canceled or answered."""
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, number, random):
+        caller = self._cluster.caller(f"canceler-{number}")
+        count = 0
+        while not self._stopped.is_set():
+            count += 1
+            job_id = f"d{number:07x}{count:08x}"
+            first, second = random.sample(self._names, 2)
+            job = job_of(1, CANCELED_RUN_MS, cpu=CANCELED_CPU)
+            answer = caller.submit_later(first, job_id, job)
+            threading.Event().wait(random.uniform(*random.choice(CANCEL_DELAYS_S)))
+            if random.random() < 0.5:
+                self._cancel(caller, second, job_id)
+                answer()
+            else:
+                self.told.append((job_id, True, answer()))
+
+    def _cancel(self, caller, dispatcher, job_id):
+        for _ in range(CANCEL_TRIES):
+            if caller.cancel(dispatcher, job_id).status in (200, 410):
+                return
+            threading.Event().wait(PAUSE_S)
+
+
 class WideLoad:
     """Callers of small jobs, callers who leave, bursts of large jobs, a rare label."""
 
