--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -256,8 +256,7 @@
                 runner.record_unanswered_stop(run)
             else:
                 worker.stop(run.key, runner.fence)
-        due = runner.needs_polling or runner.has_old_clock(self.now)
-        if due and runner.should_renew_lease:
+        if runner.needs_polling and runner.should_renew_lease:
             fence, acknowledged = runner.fence, runner.acknowledged
             lists = worker.renew_lease(
                 fence, acknowledged, runner.deadline_ms(self.now)
