--- a/tests/jobs/owners/test_canceled_ids.py
+++ b/tests/jobs/owners/test_canceled_ids.py
@@ -4,7 +4,7 @@
 
 from banyanwheel_jobs.model import JobState
 from banyanwheel_jobs.outcomes import Outcome
-from banyanwheel_jobs.owners.owner import MAX_WITHDRAWN_IDS
+from banyanwheel_jobs.owners.stored import MAX_WITHDRAWN_IDS
 
 from .test_stored import JOB, owned_world, run
 
--- a/tests/jobs/owners/test_replaced_runs.py
+++ b/tests/jobs/owners/test_replaced_runs.py
@@ -11,17 +11,23 @@
 CUT_S = 5.5  # longer than an owner waits before it replaces the runs of a silent runner
 
 
-def replaced_world():
-    """Returns a world in which run 1 has ended unheard, and names of both runners.
-
-    The first is cut off from both owners; run 2 has been started on the other.
-    """
+def unheard_world():
+    """Returns a world with one job and its runner, which is now cut off."""
     world = owned_world()
     world.run_s = 0.9
     world.submit_stored("owner-0", JOB, tasks=1)
     run(world, 0.3)
     holder = next(name for name in world.runners if world.workers[name].running)
     cut_off(world, holder)
+    return world, holder
+
+
+def replaced_world():
+    """Returns a world in which run 1 has ended unheard, and names of both runners.
+
+    The first is cut off from both owners; run 2 has been started on the other.
+    """
+    world, holder = unheard_world()
     run(world, CUT_S)
     assert [len(times) for times in world.starts.values()] == [2]
     return world, holder, next(name for name in world.runners if name != holder)
@@ -106,12 +112,7 @@
 
 # Guards against a replacement by an owner that never heard of the first run.
 def test_a_run_that_is_replaced_after_a_takeover_is_known_to_the_owner_after_it():
-    world = owned_world()
-    world.run_s = 0.9
-    world.submit_stored("owner-0", JOB, tasks=1)
-    run(world, 0.3)
-    holder = next(name for name in world.runners if world.workers[name].running)
-    cut_off(world, holder)
+    world, holder = unheard_world()
     move(world)
     run(world, CUT_S - 0.5)
     assert [len(times) for times in world.starts.values()] == [2]
@@ -123,12 +124,7 @@
 
 
 def test_a_task_is_not_placed_again_before_the_log_knows_it():
-    world = owned_world()
-    world.run_s = 0.9
-    world.submit_stored("owner-0", JOB, tasks=1)
-    run(world, 0.3)
-    holder = next(name for name in world.runners if world.workers[name].running)
-    cut_off(world, holder)
+    world, _ = unheard_world()
     world.holds_appends = True
     run(world, CUT_S)
     assert [len(times) for times in world.starts.values()] == [1]
--- a/tests/standins/load.py
+++ b/tests/standins/load.py
@@ -36,7 +36,22 @@
     tries: int = TRIES
 
 
-class Load:
+class _Callers:
+    """Threads of callers, which set ``_threads`` and end when ``_stopped`` is set."""
+
+    def start(self):
+        """Begins to submit."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self):
+        """Ends after the jobs in progress are answered."""
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+
+class Load(_Callers):
     """Threads of callers, each of which uses the dispatchers that are ready, in turn.
 
     Every other job is stored, but for ``transient`` further callers that store none.
@@ -57,17 +72,6 @@
             for number in range(first, first + callers + transient)
         ]
 
-    def start(self):
-        """Begins to submit."""
-        for thread in self._threads:
-            thread.start()
-
-    def stop(self):
-        """Ends after the jobs in progress are answered."""
-        self._stopped.set()
-        for thread in self._threads:
-            thread.join()
-
     def _submit_jobs(self, number):
         caller = self._cluster.caller(f"load-{number}")
         leaver = self._cluster.caller(
@@ -105,7 +109,7 @@
             return False
 
 
-class CancelingLoad:
+class CancelingLoad(_Callers):
     """Callers who hand stored jobs in and cancel them, or some of them.
 
     They don't wait for the answer to a submission, and cancel at another dispatcher
@@ -123,17 +127,6 @@
             for number in range(CANCELERS)
         ]
 
-    def start(self):
-        """Begins to submit."""
-        for thread in self._threads:
-            thread.start()
-
-    def stop(self):
-        """Ends after the jobs in progress are canceled or answered."""
-        self._stopped.set()
-        for thread in self._threads:
-            thread.join()
-
     def _run(self, number, random):
         caller = self._cluster.caller(f"canceler-{number}")
         count = 0
