--- a/packages/jobs/banyanwheel_jobs/owners/explaining.py
+++ b/packages/jobs/banyanwheel_jobs/owners/explaining.py
@@ -50,7 +50,7 @@
         return (
             f"searching for runs of a former owner, for {max(remaining):.1f} s at most"
         )
-    if any(task.waits_for_end for tasks in job.tasks for task in tasks):
+    if any(task.has_unknown_end for tasks in job.tasks for task in tasks):
         return "waits for the log to store that tasks are placed again"
     return "its tasks wait for earlier steps"
 
--- a/packages/jobs/banyanwheel_jobs/owners/job.py
+++ b/packages/jobs/banyanwheel_jobs/owners/job.py
@@ -57,8 +57,8 @@
     deferred_since: float | None = None
 
     @property
-    def waits_for_end(self):
-        """Whether the task waits, and the end of an earlier run is unknown."""
+    def has_unknown_end(self):
+        """Whether the task waits, and an earlier run may have ended unheard."""
         return self.state is TaskState.WAITING and self.end_unknown
 
     def apply_event(self, event):
--- a/packages/jobs/banyanwheel_jobs/owners/partition.py
+++ b/packages/jobs/banyanwheel_jobs/owners/partition.py
@@ -189,10 +189,10 @@
         self.surveyed = True
         unknown = []
         for job in self.jobs.values():
-            tasks = [task for tasks in job.tasks for task in tasks]
-            for task in tasks:
+            all_tasks = [task for tasks in job.tasks for task in tasks]
+            for task in all_tasks:
                 task.unknown_run_until = 0.0
-            unknown.append((job, [task for task in tasks if task.waits_for_end]))
+            unknown.append((job, [task for task in all_tasks if task.has_unknown_end]))
         return unknown
 
     def find(self, task_id):
